--- /dev/null
+++ b/teaselworks/src/kernel/mod.rs
@@ -0,0 +1,7 @@
+//! The kernel: services register under a name, find each other by it, and stop in order.
+
+mod registry;
+mod shutdown;
+
+pub use registry::{Registry, ServiceError, ServiceName};
+pub use shutdown::{Shutdown, ShutdownPhase};
--- /dev/null
+++ b/teaselworks_config/src/settings/load.rs
@@ -0,0 +1,80 @@
+//! Reads settings from JSON with comments.
+
+use std::path::Path;
+
+use serde_json::{Value, json};
+
+use super::{Settings, check};
+use crate::document::Document;
+use crate::fault::{Fault, Faults};
+use crate::typed;
+
+impl Settings {
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// Fails with every fault found, each with file, line and field.
+    ///
+    /// ```
+    /// use std::path::Path;
+    /// use teaselworks_config::settings::Settings;
+    ///
+    /// let faults = Settings::load(Path::new("no-such-file.jsonc")).unwrap_err();
+    /// assert_eq!(faults.0[0].file, "no-such-file.jsonc");
+    /// ```
+    pub fn load(path: &Path) -> Result<Self, Faults> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| Fault {
+            file: file.clone(),
+            line: 0,
+            column: 0,
+            field: String::new(),
+            problem: format!("cannot be read: {error}"),
+        })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Reads and checks settings from `text`; `file` is the name in faults.
+    ///
+    /// Fails with every fault found: unknown and missing fields, wrong types, and limits that
+    /// contradict each other.
+    ///
+    /// ```
+    /// use teaselworks_config::settings::Settings;
+    ///
+    /// let faults = Settings::parse("a.jsonc", "{\n  \"rooter\": {}\n}").unwrap_err();
+    /// let unknown = faults.0.iter().find(|fault| fault.field == "rooter").unwrap();
+    /// assert_eq!(unknown.line, 2);
+    /// ```
+    pub fn parse(file: &str, text: &str) -> Result<Self, Faults> {
+        let document = Document::parse(file, text)?;
+        let reading = typed::read::<Settings>(document.value(), &template());
+        let mut findings = reading.findings;
+        let Some(settings) = reading.value else {
+            return Err(document.place_all(findings));
+        };
+        let replaced: Vec<_> = findings.iter().map(|finding| finding.path.clone()).collect();
+        for finding in check::findings(&settings) {
+            // A replaced field is already reported; what contradicts its replacement is no fault.
+            if finding.rests_on(&replaced) {
+                continue;
+            }
+            findings.push(finding);
+        }
+        if findings.is_empty() { Ok(settings) } else { Err(document.place_all(findings)) }
+    }
+}
+
+/// Returns valid values of every required field, to put in place of those at fault.
+fn template() -> Value {
+    json!({
+        "router": { "name": "name", "region": "region", "zone": "zone" },
+        "listen": {
+            "callers": "127.0.0.1:0",
+            "links": "127.0.0.1:0",
+            "operators": "127.0.0.1:0",
+        },
+        "links": { "secret": "sixteen characters" },
+        "platform": { "endpoints": ["http://127.0.0.1:1"] },
+        "vm_list": { "url": "http://127.0.0.1:1" },
+    })
+}
--- /dev/null
+++ b/teaselworks_policy/src/store/mod.rs
@@ -0,0 +1,4 @@
+//! Which configuration may follow another, and how a new one reaches every router.
+
+pub mod fanout;
+pub mod version;
