A router's own cut gives removed entries no grace

A router was cut off from the store for 8 s and learnt from others meanwhile; just after, a replica's entry was removed. The router took its own cut for an outage in which entries of live replicas lapse, and waited 2.5 s for the entry; the end of that wait was seen only when the next watch returned. Ruled out: a watch that missed the removal (the log shows upstream_missing 50 ms after it). Change: answers of other routers say whether they read the store; if one does, nothing lapsed. The wait's end is looked for every 500 ms, apart from the watch. Contact with the store is one named state.

--- a/teaselworks/src/beliefs/bridge.rs
+++ b/teaselworks/src/beliefs/bridge.rs
@@ -38,23 +38,26 @@
         let asked: Vec<SocketAddr> = addresses.sample(&mut self.random, ASKED).copied().collect();
         for address in asked {
             let known = learner.revision();
-            match peers::ask(address, known).await {
-                Ok(Some(held)) if held.revision > known => {
-                    event::PEER_ANSWERED.log(&[
-                        event::text("address", &address),
-                        event::number("revision", held.revision),
-                        event::number("known", known),
-                    ]);
-                    let snapshot = Snapshot { revision: held.revision, items: held.items };
-                    learner.on_snapshot(&snapshot, Source::Peer(address));
-                    return;
-                }
-                Ok(_) => {}
+            let answer = match peers::ask(address, known).await {
+                Ok(answer) => answer,
                 Err(error) => {
                     let fields = [event::text("address", &address), event::text("cause", &error)];
                     event::PEER_FAILED.log(&fields);
+                    continue;
                 }
+            };
+            if answer.reads_store {
+                learner.on_read_elsewhere();
             }
+            let Some(held) = answer.newer.filter(|held| held.revision > known) else { continue };
+            event::PEER_ANSWERED.log(&[
+                event::text("address", &address),
+                event::number("revision", held.revision),
+                event::number("known", known),
+            ]);
+            let snapshot = Snapshot { revision: held.revision, items: held.items };
+            learner.on_snapshot(&snapshot, Source::Peer(address));
+            return;
         }
     }
 }
--- a/teaselworks/src/beliefs/follow.rs
+++ b/teaselworks/src/beliefs/follow.rs
@@ -15,6 +15,17 @@
 /// comes from other routers.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// Whether the store answers this router.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Contact {
+    /// Nothing was asked yet.
+    Untried,
+    /// The last call was answered.
+    Answered,
+    /// The last call failed.
+    Lost,
+}
+
 /// Task that keeps the beliefs up to date.
 pub struct Follower {
     store: Store,
@@ -22,7 +33,7 @@
     bridge: Bridge,
     metrics: Arc<Metrics>,
     wait: Duration,
-    is_lost: bool,
+    contact: Contact,
 }
 
 impl Follower {
@@ -35,7 +46,7 @@
         news_age: Duration,
     ) -> Self {
         let wait = news_age.mul_f64(WAIT_SHARE);
-        Self { store, learner, bridge, metrics, wait, is_lost: false }
+        Self { store, learner, bridge, metrics, wait, contact: Contact::Untried }
     }
 
     /// Follows the store until the process ends.
@@ -47,7 +58,6 @@
                 Ok(is_complete) => needs_snapshot = !is_complete,
                 Err(error) => self.on_failure(&error).await,
             }
-            self.learner.expire();
         }
     }
 
@@ -62,7 +72,8 @@
     /// Waits for changes; false where everything must be read again.
     async fn watch(&mut self) -> Result<bool, StoreError> {
         // While the store does not answer, a look that waits would only find that out later.
-        let wait = if self.is_lost { Duration::ZERO } else { self.wait };
+        let is_lost = self.contact == Contact::Lost;
+        let wait = if is_lost { Duration::ZERO } else { self.wait };
         let after = self.learner.revision();
         match self.store.watch(after, wait).await? {
             Watched::Changes(changes) => {
@@ -80,16 +91,19 @@
 
     fn on_answer(&mut self) {
         self.metrics.add_store_call(StoreOutcome::Answered);
-        if std::mem::take(&mut self.is_lost) {
-            self.learner.on_regained();
+        let before = std::mem::replace(&mut self.contact, Contact::Answered);
+        if before == Contact::Answered {
+            return;
+        }
+        self.learner.on_regained();
+        if before == Contact::Lost {
             event::STORE_REGAINED.log(&[event::number("revision", self.learner.revision())]);
         }
     }
 
     async fn on_failure(&mut self, error: &StoreError) {
         self.metrics.add_store_call(StoreOutcome::Failed);
-        if !self.is_lost {
-            self.is_lost = true;
+        if std::mem::replace(&mut self.contact, Contact::Lost) != Contact::Lost {
             self.learner.on_lost();
             event::STORE_LOST.log(&[
                 event::text("cause", error),
--- a/teaselworks/src/beliefs/held.rs
+++ b/teaselworks/src/beliefs/held.rs
@@ -1,6 +1,7 @@
 //! The store's items as this router last read them, for routers that cannot read them.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,7 @@
 #[derive(Debug, Default)]
 pub struct Held {
     state: Mutex<State>,
+    is_current: AtomicBool,
 }
 
 impl Held {
@@ -34,6 +36,16 @@
         self.lock().revision
     }
 
+    /// Tells whether this router can read the store at the moment.
+    pub fn is_current(&self) -> bool {
+        self.is_current.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether this router can read the store.
+    pub(super) fn set_current(&self, is_current: bool) {
+        self.is_current.store(is_current, Ordering::Relaxed);
+    }
+
     /// Returns the items, where they are newer than a revision.
     ///
     /// ```
--- a/teaselworks/src/beliefs/learn.rs
+++ b/teaselworks/src/beliefs/learn.rs
@@ -50,11 +50,18 @@
 
     /// Notes that the store cannot be read.
     pub fn on_lost(&self) {
+        self.held.set_current(false);
         self.registry().on_lost(self.shared.now());
     }
 
-    /// Notes that the store can be read again.
+    /// Notes that other routers can read the store.
+    pub fn on_read_elsewhere(&self) {
+        self.registry().on_read_elsewhere();
+    }
+
+    /// Notes that the store can be read, for the first time or again.
     pub fn on_regained(&self) {
+        self.held.set_current(true);
         self.registry().on_regained(self.shared.now());
     }
 
@@ -97,6 +104,9 @@
 
     /// Drops what has been missing for too long.
     pub fn expire(&self) {
+        if !self.registry().awaits() {
+            return;
+        }
         let changes = self.registry().expire(self.shared.now());
         self.on_upstreams(&changes, self.held.revision(), Source::Store);
     }
@@ -142,7 +152,12 @@
     fn on_configuration(&self, configuration: Configuration, revision: u64, source: Source) {
         let version = configuration.version;
         let routes = configuration.routes.len() as u64;
+        let in_force =
+            self.shared.fleet().configuration().map(|configuration| configuration.version);
         let is_newer = self.shared.fleet().set_configuration(configuration);
+        if !is_newer && in_force == Some(version) {
+            return;
+        }
         let event =
             if is_newer { event::CONFIGURATION_IN_FORCE } else { event::CONFIGURATION_STALE };
         event.log(&[
--- a/teaselworks/src/daemon/serve.rs
+++ b/teaselworks/src/daemon/serve.rs
@@ -11,7 +11,7 @@
 use super::page::{self, Page};
 use super::services::{HELD, LEARNER, METRICS, SHARED, register, seed};
 use super::{StartError, reload, stop};
-use crate::beliefs::{Bridge, Follower, Registrar};
+use crate::beliefs::{Bridge, Follower, Learner, Registrar};
 use crate::event;
 use crate::kernel::{Registry, Shutdown, ShutdownPhase};
 use crate::net;
@@ -20,8 +20,9 @@
 use crate::relay::{CallerPort, Shared};
 use crate::settings::Settings;
 
-/// Time between looks for connections to upstreams that have been idle for too long.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between looks for what has become too old: idle connections to upstreams, and upstreams
+/// that were missing for so long that they count as gone. A quarter of the shortest bound for news.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
 struct Ports {
     callers: TcpListener,
@@ -83,7 +84,7 @@
 
     let bridge = Bridge::new(shared.clone(), seed());
     let news_age = settings.bounds.news_age();
-    tokio::spawn(Follower::new(store(), learner, bridge, metrics.clone(), news_age).run());
+    tokio::spawn(Follower::new(store(), learner.clone(), bridge, metrics.clone(), news_age).run());
     let peers = settings.listen.peers.unwrap_or(settings.listen.callers);
     let shortest_lease = Duration::from_millis(settings.platform.shortest_lease_ms);
     let name = &settings.router.name;
@@ -91,7 +92,7 @@
     if let Some(listener) = ports.peers {
         tokio::spawn(peers::serve(listener, held));
     }
-    tokio::spawn(sweep(shared.clone()));
+    tokio::spawn(sweep(shared.clone(), learner));
     tokio::spawn(page::serve(ports.metrics, move || Page {
         status: StatusCode::OK,
         text: metrics.to_text(),
@@ -110,9 +111,10 @@
     Page { status, text: String::new() }
 }
 
-async fn sweep(shared: Arc<Shared>) {
+async fn sweep(shared: Arc<Shared>, learner: Arc<Learner>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
+        learner.expire();
         shared.connections.sweep(shared.now());
     }
 }
--- a/teaselworks/src/peers/client.rs
+++ b/teaselworks/src/peers/client.rs
@@ -9,20 +9,19 @@
 
 use super::message::{decode, encode};
 use super::{Answer, PeerError, Question};
-use crate::beliefs::HeldItems;
 use crate::net;
 
 /// Longest wait for an answer: it comes from memory, within a few round trips.
 const ASK_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Asks the router at an address what it knows beyond a revision.
-pub async fn ask(address: SocketAddr, known: u64) -> Result<Option<HeldItems>, PeerError> {
+pub async fn ask(address: SocketAddr, known: u64) -> Result<Answer, PeerError> {
     tokio::time::timeout(ASK_TIMEOUT, exchange(address, known))
         .await
         .unwrap_or(Err(PeerError::Timeout))
 }
 
-async fn exchange(address: SocketAddr, known: u64) -> Result<Option<HeldItems>, PeerError> {
+async fn exchange(address: SocketAddr, known: u64) -> Result<Answer, PeerError> {
     let stream = net::connect(address).await.map_err(|_| PeerError::Connect)?;
     let url = format!("ws://{address}/");
     let (mut socket, _) = client_async(url, stream).await.map_err(|_| PeerError::Broken)?;
@@ -30,8 +29,7 @@
     socket.send(Message::Binary(question)).await.map_err(|_| PeerError::Broken)?;
     while let Some(message) = socket.next().await {
         let Message::Binary(bytes) = message.map_err(|_| PeerError::Broken)? else { continue };
-        let answer: Answer = decode(&bytes)?;
-        return Ok(answer.newer);
+        return decode(&bytes);
     }
     Err(PeerError::Broken)
 }
--- a/teaselworks/src/peers/message.rs
+++ b/teaselworks/src/peers/message.rs
@@ -17,6 +17,8 @@
 /// What the other one answers.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Answer {
+    /// It can read the store.
+    pub reads_store: bool,
     /// Everything that it knows, where that is newer.
     pub newer: Option<HeldItems>,
 }
--- a/teaselworks/src/peers/server.rs
+++ b/teaselworks/src/peers/server.rs
@@ -44,8 +44,9 @@
     while let Some(message) = socket.next().await {
         let Message::Binary(bytes) = message.map_err(|_| PeerError::Broken)? else { continue };
         let question: Question = decode(&bytes)?;
-        let answer = encode(&Answer { newer: held.newer_than(question.known_revision) })?;
-        socket.send(Message::Binary(answer)).await.map_err(|_| PeerError::Broken)?;
+        let newer = held.newer_than(question.known_revision);
+        let answer = Answer { reads_store: held.is_current(), newer };
+        socket.send(Message::Binary(encode(&answer)?)).await.map_err(|_| PeerError::Broken)?;
     }
     Ok(())
 }
--- a/teaselworks/tests/news.rs
+++ b/teaselworks/tests/news.rs
@@ -195,6 +195,28 @@
     assert_eq!(status(&fleet.routers[0], "/read/a", "after").await, 200);
 }
 
+/// Symptom: a replica gets requests for seconds after it has left. Sequence: one router is cut off
+/// from the store for a while and learns from others; just after the cut ends, a replica leaves and
+/// its entry is removed. Cause: the router takes its own cut for an outage in which entries lapse.
+#[tokio::test]
+async fn a_cut_of_one_router_gives_no_grace_to_entries_that_are_removed() {
+    let fleet = fleet(1).await;
+    let proxy = Proxy::start(fleet.store.address()).unwrap();
+    let seeds = [fleet.routers[0].peers()];
+    let router = Router::start(program(), "apart", proxy.address(), &seeds, &json!({})).unwrap();
+    router.ready().await.unwrap();
+    proxy.set_frozen(true);
+    proxy.cut();
+    router.logged("store_lost", 1).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(2_200)).await;
+    proxy.cut();
+    proxy.set_frozen(false);
+    router.logged("store_regained", 1).await.unwrap();
+    fleet.unlist("service-1");
+    router.logged("upstream_gone", 1).await.unwrap();
+    assert!(router.events("upstream_missing").is_empty());
+}
+
 #[tokio::test]
 async fn routers_know_of_each_other() {
     let fleet = fleet(3).await;
--- a/teaselworks_policy/src/upstream/registry.rs
+++ b/teaselworks_policy/src/upstream/registry.rs
@@ -58,6 +58,11 @@
         self.lost_at.get_or_insert(now);
     }
 
+    /// Notes that others can read the list: what vanishes from it did not lapse in an outage.
+    pub fn on_read_elsewhere(&mut self) {
+        self.lost_at = None;
+    }
+
     /// Notes that the list can be read again; call it before what was read is applied.
     pub fn on_regained(&mut self, now: Duration) {
         let Some(lost_at) = self.lost_at.take() else { return };
@@ -145,6 +150,11 @@
         due.into_iter().map(Change::Gone).collect()
     }
 
+    /// Tells whether an entry is missing that will count as gone after a while.
+    pub fn awaits(&self) -> bool {
+        self.entries.values().any(|entry| entry.missing_until.is_some())
+    }
+
     /// Returns the entries that are listed or awaited.
     pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
         self.entries.values().map(|entry| &entry.upstream)
--- a/teaselworks_policy/tests/registry.rs
+++ b/teaselworks_policy/tests/registry.rs
@@ -80,3 +80,16 @@
     registry.on_regained(seconds(15.0));
     assert_eq!(registry.remove(seconds(18.0), "i-1"), Some(Change::Gone("i-1".into())));
 }
+
+/// Symptom: an upstream that left gets requests for seconds. Sequence: this router alone cannot read
+/// the list for a while; an entry is removed just after it can. Cause: a fault of its own is taken
+/// for an outage of the list's keeper.
+#[test]
+fn an_outage_of_one_router_gives_no_grace() {
+    let mut registry = Registry::new();
+    registry.put(upstream("i-1"));
+    registry.on_lost(seconds(10.0));
+    registry.on_read_elsewhere();
+    registry.on_regained(seconds(15.0));
+    assert_eq!(registry.remove(seconds(15.1), "i-1"), Some(Change::Gone("i-1".into())));
+}
