Replicas without a fresh report count as loaded as usual

Ruled out: the bound itself (unchanged); hot keys (0.0 to 4 requests at the replicas left). Change: what other routers have at a replica that has not reported is the mean of what replicas report.

--- a/teaselworks_policy/src/upstream/load.rs
+++ b/teaselworks_policy/src/upstream/load.rs
@@ -57,10 +57,18 @@
         (age < REPORT_LIFETIME).then_some(age)
     }
 
-    /// Estimates the requests of all routers there, of which `routers` are alive.
+    /// Returns the requests of other routers by the last report, and how far it is trusted, from 1
+    /// for a new one to 0.
+    pub fn foreign(&self, now: Duration) -> Option<(f64, f64)> {
+        let age = self.report_age(now)?;
+        let trust = 1.0 - age.as_secs_f64() / REPORT_LIFETIME.as_secs_f64();
+        Some((f64::from(self.reported?.foreign), trust))
+    }
+
+    /// Estimates the requests of all routers there; `usual` are those that other routers have at
+    /// other upstreams of the service.
     ///
-    /// A report counts less the older it is; what it does not say is taken to be as much for each
-    /// other router as for this one.
+    /// A report counts less the older it is; what it does not say is taken to be as usual.
     ///
     /// ```
     /// use std::time::Duration;
@@ -68,20 +76,15 @@
     ///
     /// let mut load = Load::default();
     /// load.begin();
-    /// assert_eq!(load.estimate(Duration::ZERO, 4), 4.0);
+    /// assert_eq!(load.estimate(Duration::ZERO, 4.0), 5.0);
     /// load.report(Duration::ZERO, LoadReport { running: 9, waiting: 0 });
-    /// assert_eq!(load.estimate(Duration::ZERO, 4), 9.0);
+    /// assert_eq!(load.estimate(Duration::ZERO, 4.0), 9.0);
     /// ```
-    pub fn estimate(&self, now: Duration, routers: u32) -> f64 {
-        let own = f64::from(self.own);
-        let guessed = own * f64::from(routers.saturating_sub(1));
-        let foreign = match (self.reported, self.report_age(now)) {
-            (Some(reported), Some(age)) => {
-                let trust = 1.0 - age.as_secs_f64() / REPORT_LIFETIME.as_secs_f64();
-                trust * f64::from(reported.foreign) + (1.0 - trust) * guessed
-            }
-            _ => guessed,
+    pub fn estimate(&self, now: Duration, usual: f64) -> f64 {
+        let foreign = match self.foreign(now) {
+            Some((reported, trust)) => trust * reported + (1.0 - trust) * usual,
+            None => usual,
         };
-        own + foreign
+        f64::from(self.own) + foreign
     }
 }
--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -88,6 +88,27 @@
     assert!(f64::from(*most) <= 2.0 * 10.0 + 3.0, "{loads:?}");
 }
 
+/// Symptom: one request in five of a calm day leaves the replica that holds its prompt.
+/// Sequence: a replica has not reported its load for a while, and holds one request of this router.
+/// Cause: that one is taken for as many as there are routers.
+#[test]
+fn a_replica_that_has_not_reported_counts_as_loaded_as_usual() {
+    let mut pool = pool(6, 48);
+    let prompt = prompt(10);
+    let settings = PlacementSettings { routers: 8, ..SETTINGS };
+    let home = place(&pool, NOW, &demand(Some(&prompt)), &settings, &mut random()).unwrap();
+    pool.begin(NOW, &home.upstream.id);
+    for number in 0..6 {
+        let id = format!("i-{number}");
+        if *id != *home.upstream.id {
+            pool.report(NOW, &id, LoadReport { running: 3, waiting: 0 });
+        }
+    }
+    let next = place(&pool, NOW, &demand(Some(&prompt)), &settings, &mut random()).unwrap();
+    assert_eq!(next.reason, Reason::Home);
+    assert_eq!(next.load, 4.0);
+}
+
 #[test]
 fn plain_requests_go_to_the_least_loaded_replica_of_the_zone() {
     let mut pool = pool(4, 6);
