Large news are read from the store; reports count longer in large fleets

Ruled out: the store (followers that asked it got the version within 0.4 s). Change: a follower says how much it wants (24 KB); beyond it, it looks at the store itself. A report's lifetime is 250 ms for each router, within 2 and 10 s.

--- a/teaselworks/src/beliefs/bridge.rs
+++ b/teaselworks/src/beliefs/bridge.rs
@@ -10,7 +10,7 @@
 
 use super::{Learner, Source};
 use crate::event;
-use crate::peers::Peer;
+use crate::peers::{Peer, Question};
 use crate::relay::Shared;
 
 /// Routers asked in one round. Where a third of them cannot read the store either, two in a row
@@ -38,7 +38,9 @@
         let asked: Vec<SocketAddr> = addresses.sample(&mut self.random, ASKED).copied().collect();
         for address in asked {
             let known = learner.revision();
-            let answer = match Peer::new(address).ask(known, Duration::ZERO).await {
+            let question =
+                Question { known_revision: known, wait: Duration::ZERO, largest_bytes: None };
+            let answer = match Peer::new(address).ask(question).await {
                 Ok(answer) => answer,
                 Err(error) => {
                     let fields = [event::text("address", &address), event::text("cause", &error)];
--- a/teaselworks/src/beliefs/follow.rs
+++ b/teaselworks/src/beliefs/follow.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Bridge, Learner, Source};
+use super::{Bridge, Learner, News, Source};
 use crate::event;
 use crate::metrics::{Metrics, StoreOutcome};
-use crate::peers::Peer;
+use crate::peers::{Peer, Question};
 use crate::platform::{Store, StoreError, Watched};
 
 /// Part of the bound on the age of news for which one look waits for changes. A look that hears
@@ -16,6 +16,9 @@
 /// Part of the bound for which changes are collected after a look that brought some: changes come in
 /// series, and each look is priced.
 const COLLECTING_SHARE: f64 = 0.15;
+/// Largest news that a router takes from another one. Twenty routers get them at once from a VM whose
+/// link carries a megabyte a second at least: half a second in all.
+const NEWS_SIZE_MAX_BYTES: usize = 24 << 10;
 /// Time for which a router reads the store itself after the one that reads for it failed.
 const OWN_READING: Duration = Duration::from_secs(5);
 /// Time between looks while the store does not answer. Each is priced, and what is missed meanwhile
@@ -137,7 +140,17 @@
         let Some(reader) = &mut self.reader else { return };
         let wait = self.news_age.mul_f64(WAIT_SHARE);
         let address = reader.address();
-        let cause = match reader.ask(self.learner.revision(), wait).await {
+        let question = Question {
+            known_revision: self.learner.revision(),
+            wait,
+            largest_bytes: Some(NEWS_SIZE_MAX_BYTES),
+        };
+        let cause = match reader.ask(question).await {
+            Ok(answer) if answer.news == News::TooLarge => {
+                // One look at the store, after which the reader is asked again.
+                self.contact = Contact::Untried;
+                return;
+            }
             Ok(answer) if answer.reads_store => {
                 self.learner.on_news(&answer.news, Source::Peer(address));
                 return;
--- a/teaselworks/src/beliefs/held.rs
+++ b/teaselworks/src/beliefs/held.rs
@@ -21,6 +21,22 @@
     Changes(Vec<ItemChange>),
     /// Everything, since not every change is known any more.
     Whole(Snapshot),
+    /// More than the router that asked wants to get; it reads the store itself.
+    TooLarge,
+}
+
+impl News {
+    fn size_bytes(&self) -> usize {
+        let size = |item: &Item| item.key.len() + item.value.len();
+        match self {
+            News::Nothing | News::TooLarge => 0,
+            News::Whole(snapshot) => snapshot.items.iter().map(size).sum(),
+            News::Changes(changes) => {
+                let written = changes.iter().filter_map(ItemChange::item);
+                written.map(size).sum()
+            }
+        }
+    }
 }
 
 /// What the holder knows, for those who wait for news.
@@ -80,14 +96,23 @@
         let _ = tokio::time::timeout(time, changed).await;
     }
 
-    /// Returns what is newer than a revision.
+    /// Returns what is newer than a revision, where it is not larger than a size.
+    ///
+    /// What goes wrong without that: a configuration of a thousand routes goes to twenty routers from
+    /// one VM whose network link takes seconds for it, and all of them are late.
     ///
     /// ```
     /// use teaselworks::beliefs::{Held, News};
     ///
-    /// assert_eq!(Held::default().news_after(0), News::Nothing);
+    /// assert_eq!(Held::default().news_after(0, None), News::Nothing);
     /// ```
-    pub fn news_after(&self, known: u64) -> News {
+    pub fn news_after(&self, known: u64, largest_bytes: Option<usize>) -> News {
+        let news = self.all_after(known);
+        let is_too_large = largest_bytes.is_some_and(|largest| news.size_bytes() > largest);
+        if is_too_large { News::TooLarge } else { news }
+    }
+
+    fn all_after(&self, known: u64) -> News {
         let state = self.lock();
         if state.revision <= known {
             return News::Nothing;
--- a/teaselworks/src/beliefs/learn.rs
+++ b/teaselworks/src/beliefs/learn.rs
@@ -104,7 +104,7 @@
     pub fn on_news(&self, news: &News, source: Source) -> bool {
         let known = self.revision();
         match news {
-            News::Nothing => return false,
+            News::Nothing | News::TooLarge => return false,
             News::Changes(changes) => self.on_changes(changes, source),
             News::Whole(snapshot) if snapshot.revision <= known => return false,
             News::Whole(snapshot) => self.on_snapshot(snapshot, source),
--- a/teaselworks/src/peers/client.rs
+++ b/teaselworks/src/peers/client.rs
@@ -33,9 +33,9 @@
         self.address
     }
 
-    /// Asks what the router knows beyond a revision; it may wait for that for a time.
-    pub async fn ask(&mut self, known: u64, wait: Duration) -> Result<Answer, PeerError> {
-        let question = Question { known_revision: known, wait };
+    /// Asks what the router knows; it may wait for that for a time.
+    pub async fn ask(&mut self, question: Question) -> Result<Answer, PeerError> {
+        let wait = question.wait;
         let opened = match self.socket.take() {
             Some(socket) => Ok(socket),
             None => open(self.address).await,
--- a/teaselworks/src/peers/message.rs
+++ b/teaselworks/src/peers/message.rs
@@ -16,6 +16,8 @@
     pub known_revision: u64,
     /// Longest time for which the answer waits for something newer.
     pub wait: Duration,
+    /// Largest answer that it wants; it reads the store where there is more.
+    pub largest_bytes: Option<usize>,
 }
 
 /// What the other one answers.
--- a/teaselworks/src/peers/server.rs
+++ b/teaselworks/src/peers/server.rs
@@ -47,9 +47,9 @@
         let message = tokio::time::timeout(SILENCE_TIMEOUT, socket.next()).await;
         let Some(message) = message.map_err(|_| PeerError::Timeout)? else { return Ok(()) };
         let Message::Binary(bytes) = message.map_err(|_| PeerError::Broken)? else { continue };
-        let Question { known_revision, wait } = decode(&bytes)?;
+        let Question { known_revision, wait, largest_bytes } = decode(&bytes)?;
         held.wait(known_revision, wait.min(WAIT_MAX)).await;
-        let news = held.news_after(known_revision);
+        let news = held.news_after(known_revision, largest_bytes);
         let answer = encode(&Answer { reads_store: held.is_current(), news })?;
         socket.send(Message::Binary(answer)).await.map_err(|_| PeerError::Broken)?;
     }
--- a/teaselworks/src/platform/store.rs
+++ b/teaselworks/src/platform/store.rs
@@ -66,6 +66,14 @@
 }
 
 impl ItemChange {
+    /// Returns the item that was written, where it was not deleted.
+    pub fn item(&self) -> Option<&Item> {
+        match self {
+            ItemChange::Written(item) => Some(item),
+            ItemChange::Deleted { .. } => None,
+        }
+    }
+
     /// Returns the revision of the store that the change made.
     pub fn revision(&self) -> u64 {
         match self {
--- a/teaselworks/tests/readers.rs
+++ b/teaselworks/tests/readers.rs
@@ -50,3 +50,20 @@
     }
     add_route(&mut fleet, "/two/").await;
 }
+
+/// Symptom: a large configuration is in force seconds late at most routers of a large fleet.
+/// Sequence: it grows by many routes. Cause: the few routers that read send it to all others over
+/// their own links.
+#[tokio::test]
+async fn a_large_configuration_is_read_from_the_store_by_each_router() {
+    let mut fleet = fleet(ROUTERS).await;
+    for number in 0..400 {
+        fleet.plan.route(&format!("/many/{number}/"), "safe", ARCHIVE, 2);
+    }
+    add_route(&mut fleet, "/large/").await;
+    for router in &fleet.routers {
+        let in_force = router.logged("configuration_in_force", 2).await.unwrap();
+        assert_eq!(in_force.last().unwrap()["source"], "store");
+    }
+    add_route(&mut fleet, "/larger/").await;
+}
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, RngExt};
 
 use super::{Prompt, score};
-use crate::upstream::{Member, Pool, Upstream};
+use crate::upstream::{Foreign, Member, Pool, Upstream, Usual};
 use crate::verdict::{Refusal, RefusalReason};
 
 /// Time after which a caller may come back to a service without a usable replica: ejected replicas
@@ -154,14 +154,14 @@
     key: u64,
     settings: &PlacementSettings,
 ) -> Placement {
-    let usual = usual_foreign(&candidates, now, settings.routers);
-    let total: f64 = candidates.iter().map(|member| member.load.estimate(now, usual)).sum();
+    let usual = usual(&candidates, now, settings.routers);
+    let total: f64 = candidates.iter().map(|member| member.load.estimate(now, &usual)).sum();
     let mean = total / candidates.len() as f64;
     let excess = (settings.capacity_factor - 1.0).max(0.0) * USED_EXCESS;
     let bound = mean * (1.0 + excess) + SPARE_REQUESTS;
     candidates.sort_by_cached_key(|member| Reverse(score(key, &member.upstream.id)));
     for (rank, member) in candidates.iter().enumerate() {
-        let load = member.load.estimate(now, usual);
+        let load = member.load.estimate(now, &usual);
         let has_slot = load < f64::from(member.upstream.slots);
         if load + 1.0 > bound || !has_slot {
             continue;
@@ -169,7 +169,7 @@
         let reason = if rank == 0 { Reason::Home } else { Reason::Spill };
         return placement(member, now, reason, load, bound);
     }
-    least_loaded(&candidates, now, bound, |member| member.load.estimate(now, usual))
+    least_loaded(&candidates, now, bound, |member| member.load.estimate(now, &usual))
 }
 
 /// Returns the replica with the least load, those of the same zone before others.
@@ -184,11 +184,11 @@
     let offset = random.random_range(0..candidates.len());
     let mut order: Vec<&Member> = candidates.to_vec();
     order.rotate_left(offset);
-    let usual = usual_foreign(candidates, now, settings.routers);
+    let usual = usual(candidates, now, settings.routers);
     let cost = |member: &Member| {
         let way = if &*member.upstream.zone == zone { 0.0 } else { ZONE_PENALTY };
         let slots = f64::from(member.upstream.slots.max(1));
-        (member.load.estimate(now, usual) + way) / slots
+        (member.load.estimate(now, &usual) + way) / slots
     };
     least_loaded(&order, now, f64::INFINITY, cost)
 }
@@ -222,20 +222,19 @@
 ///
 /// What goes wrong with the guess alone: one request of this router at a replica that has not
 /// reported lately counts for as many as there are routers, and the next one is sent elsewhere.
-fn usual_foreign(candidates: &[&Member], now: Duration, routers: u32) -> f64 {
+fn usual(candidates: &[&Member], now: Duration, routers: u32) -> Usual {
     let mut reported = 0.0;
     let mut trusted = 0.0;
     let mut own = 0.0;
     for member in candidates {
         own += f64::from(member.load.own());
-        let Some((foreign, trust)) = member.load.foreign(now) else { continue };
-        reported += foreign * trust;
+        let Some(Foreign { requests, trust }) = member.load.foreign(now, routers) else { continue };
+        reported += requests * trust;
         trusted += trust;
     }
-    if trusted > 0.0 {
-        return reported / trusted;
-    }
-    own * f64::from(routers.saturating_sub(1)) / candidates.len().max(1) as f64
+    let guessed = own * f64::from(routers.saturating_sub(1)) / candidates.len().max(1) as f64;
+    let foreign = if trusted > 0.0 { reported / trusted } else { guessed };
+    Usual { foreign, routers }
 }
 
 /// Returns the shortest wait for a slot where all are taken.
@@ -247,13 +246,13 @@
     now: Duration,
     settings: &PlacementSettings,
 ) -> Option<Duration> {
-    let usual = usual_foreign(candidates, now, settings.routers);
+    let usual = usual(candidates, now, settings.routers);
     let mut shortest = None;
     for member in candidates {
         let slots = f64::from(member.upstream.slots.max(1));
-        let ahead = member.load.estimate(now, usual) - slots;
+        let ahead = member.load.estimate(now, &usual) - slots;
         // Without a report the estimate is a guess from few requests, too coarse to refuse on.
-        if ahead < 0.0 || member.load.report_age(now).is_none() {
+        if ahead < 0.0 || member.load.foreign(now, settings.routers).is_none() {
             return None;
         }
         let mean_time = member.mean_time?;
--- a/teaselworks_policy/src/upstream/load.rs
+++ b/teaselworks_policy/src/upstream/load.rs
@@ -2,9 +2,14 @@
 
 use std::time::Duration;
 
-/// Age at which a report says nothing any more. Requests end within a second or two, so that an
-/// older report describes others than those that run now.
-const REPORT_LIFETIME: Duration = Duration::from_secs(2);
+/// Age at which a report says nothing any more, for each router of the fleet: the more routers there
+/// are, the more rarely one hears of a replica, and an older report is better than none, since what
+/// makes a replica busier than others, the chats that belong there, lasts for minutes.
+const LIFETIME_PER_ROUTER: Duration = Duration::from_millis(250);
+/// Shortest such age: requests end within a second or two.
+const SHORTEST_LIFETIME: Duration = Duration::from_secs(2);
+/// Longest such age.
+const LONGEST_LIFETIME: Duration = Duration::from_secs(10);
 
 /// What an upstream said about itself beside an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -22,6 +27,24 @@
     at: Duration,
 }
 
+/// Requests of other routers at one upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Foreign {
+    /// Their number when the upstream reported.
+    pub requests: f64,
+    /// How far the report is trusted, from 1 to 0.
+    pub trust: f64,
+}
+
+/// What a router knows besides of the load of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usual {
+    /// Requests that other routers usually have at one of its upstreams.
+    pub foreign: f64,
+    /// Routers that are alive, this one included.
+    pub routers: u32,
+}
+
 /// Requests at one upstream.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Load {
@@ -51,39 +74,39 @@
         self.own
     }
 
-    /// Returns the age of the last report that still counts.
+    /// Returns the age of the last report, where there was one.
     pub fn report_age(&self, now: Duration) -> Option<Duration> {
-        let age = now.saturating_sub(self.reported?.at);
-        (age < REPORT_LIFETIME).then_some(age)
+        Some(now.saturating_sub(self.reported?.at))
     }
 
-    /// Returns the requests of other routers by the last report, and how far it is trusted, from 1
-    /// for a new one to 0.
-    pub fn foreign(&self, now: Duration) -> Option<(f64, f64)> {
-        let age = self.report_age(now)?;
-        let trust = 1.0 - age.as_secs_f64() / REPORT_LIFETIME.as_secs_f64();
-        Some((f64::from(self.reported?.foreign), trust))
+    /// Returns the requests of other routers by the last report, and how far it is trusted in a fleet
+    /// of so many routers, from 1 for a new one to 0.
+    pub fn foreign(&self, now: Duration, routers: u32) -> Option<Foreign> {
+        let lifetime = (LIFETIME_PER_ROUTER * routers).clamp(SHORTEST_LIFETIME, LONGEST_LIFETIME);
+        let age = self.report_age(now).filter(|age| *age < lifetime)?;
+        let trust = 1.0 - age.as_secs_f64() / lifetime.as_secs_f64();
+        Some(Foreign { requests: f64::from(self.reported?.foreign), trust })
     }
 
-    /// Estimates the requests of all routers there; `usual` are those that other routers have at
-    /// other upstreams of the service.
+    /// Estimates the requests of all routers there.
     ///
     /// A report counts less the older it is; what it does not say is taken to be as usual.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use teaselworks_policy::upstream::{Load, LoadReport};
+    /// use teaselworks_policy::upstream::{Load, LoadReport, Usual};
     ///
+    /// let usual = Usual { foreign: 4.0, routers: 8 };
     /// let mut load = Load::default();
     /// load.begin();
-    /// assert_eq!(load.estimate(Duration::ZERO, 4.0), 5.0);
+    /// assert_eq!(load.estimate(Duration::ZERO, &usual), 5.0);
     /// load.report(Duration::ZERO, LoadReport { running: 9, waiting: 0 });
-    /// assert_eq!(load.estimate(Duration::ZERO, 4.0), 9.0);
+    /// assert_eq!(load.estimate(Duration::ZERO, &usual), 9.0);
     /// ```
-    pub fn estimate(&self, now: Duration, usual: f64) -> f64 {
-        let foreign = match self.foreign(now) {
-            Some((reported, trust)) => trust * reported + (1.0 - trust) * usual,
-            None => usual,
+    pub fn estimate(&self, now: Duration, usual: &Usual) -> f64 {
+        let foreign = match self.foreign(now, usual.routers) {
+            Some(Foreign { requests, trust }) => trust * requests + (1.0 - trust) * usual.foreign,
+            None => usual.foreign,
         };
         f64::from(self.own) + foreign
     }
--- a/teaselworks_policy/src/upstream/mod.rs
+++ b/teaselworks_policy/src/upstream/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 pub use self::health::{Health, Symptom};
-pub use self::load::{Load, LoadReport};
+pub use self::load::{Foreign, Load, LoadReport, Usual};
 pub use self::pool::{Member, Pool};
 pub use self::registry::{Change, Registry};
 
