--- a/teaselworks_policy/src/upstream/load.rs
+++ b/teaselworks_policy/src/upstream/load.rs
@@ -84,7 +84,9 @@
     pub fn foreign(&self, now: Duration, routers: u32) -> Option<Foreign> {
         let lifetime = (LIFETIME_PER_ROUTER * routers).clamp(SHORTEST_LIFETIME, LONGEST_LIFETIME);
         let age = self.report_age(now).filter(|age| *age < lifetime)?;
-        let trust = 1.0 - age.as_secs_f64() / lifetime.as_secs_f64();
+        let part = age.as_secs_f64() / lifetime.as_secs_f64();
+        // Most of a report holds for most of its life.
+        let trust = 1.0 - part * part;
         Some(Foreign { requests: f64::from(self.reported?.foreign), trust })
     }
 
