--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -55,6 +55,8 @@
     REQUEST_PLACED = 800 Info "request_placed" "A request is sent to an upstream; the fields name what decided.";
     ATTEMPT_RETRIED = 801 Info "attempt_retried" "An attempt failed and another one is made.";
 
+    ATTEMPT_FAILED = 802 Info "attempt_failed" "An attempt failed and none follows; the fields name how it failed and why none follows.";
+
     // 900-999: upstreams.
     UPSTREAM_SERVING = 900 Info "upstream_serving" "An upstream takes requests, or its properties changed.";
     UPSTREAM_DRAINING = 901 Info "upstream_draining" "An upstream leaves and gets no new requests.";
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -283,12 +283,17 @@
         let (reason, is_repeat) = match decide(failure, &attempts, Some(retry_after)) {
             Next::Retry { is_repeat, .. } if is_begun => (RetryReason::Resumed, is_repeat),
             Next::Retry { reason, is_repeat } => (reason, is_repeat),
-            Next::GiveUp(refusal) => return Err(refusal),
+            Next::GiveUp(refusal) => {
+                drop(fleet);
+                self.log_failure(failure, &refusal);
+                return Err(refusal);
+            }
         };
         if is_repeat && !fleet.try_repeat(now, service) {
-            return Err(
-                self.honest(Refusal::not_run(RefusalReason::RetryBudget, Some(retry_after)))
-            );
+            drop(fleet);
+            let refusal = Refusal::not_run(RefusalReason::RetryBudget, Some(retry_after));
+            self.log_failure(failure, &refusal);
+            return Err(self.honest(refusal));
         }
         drop(fleet);
         self.shared.metrics.add_retry(reason);
@@ -301,6 +306,19 @@
         Ok(())
     }
 
+    /// Logs a failed attempt that no other follows.
+    fn log_failure(&self, failure: Failure, refusal: &Refusal) {
+        event::ATTEMPT_FAILED.log(&[
+            event::text("request", &self.prepared.facts.id),
+            event::text("upstream", &self.tried.last().map_or("", |id| id)),
+            event::text("failure", &RetryReason::from(failure).as_str()),
+            event::text("verdict", &failure.verdict()),
+            event::text("reason", &refusal.reason),
+            event::number("attempt", self.attempts().into()),
+            event::number("max_runs", self.prepared.route.max_attempts.into()),
+        ]);
+    }
+
     /// Turns a refusal into one that does not promise what an earlier attempt may have broken.
     fn honest(&self, refusal: Refusal) -> Refusal {
         if self.runs == 0 || refusal.verdict == Verdict::MayHaveRun {
--- a/teaselworks/tests/answers.rs
+++ b/teaselworks/tests/answers.rs
@@ -71,6 +71,11 @@
         assert_eq!(reply.status(), 502, "{name}");
         assert_eq!(reply.head.header("x-server-stamp"), None, "{name}");
         assert_eq!(runs(&fleet, &id), 1, "{name}");
+        let failed = fleet.routers[0].logged("attempt_failed", number + 1).await.unwrap();
+        assert_eq!(failed[number]["request"], id.as_str(), "{name}");
+        assert!(
+            ["broken", "foreign", "failed"].contains(&failed[number]["failure"].as_str().unwrap())
+        );
     }
 }
 
