What may repeat leaves a silent replica

Ruled out: shorter time-outs of the connection, which see only unacknowledged bytes, not a mute process; ending an answer for its silence, which is no failure. Change: where nothing came for three times what callers aim at, and the route allows another run and the retry budget pays it, the attempt is closed and another replica is asked, or goes on after the last event. One timer an answer, set again only when it fires. Conclusion: kept since it answers callers that were failed before: what_may_repeat_leaves_a_silent_replica was red without it (a gloss ended after two of five events at its deadline).

--- a/teaselworks/src/platform/configuration.rs
+++ b/teaselworks/src/platform/configuration.rs
@@ -36,6 +36,8 @@
     timeout_ms: Duration,
     #[serde(default, deserialize_with = "wire::milliseconds")]
     target_latency_ms: Duration,
+    #[serde(default, deserialize_with = "wire::milliseconds")]
+    target_gap_ms: Duration,
     /// Rank, where 0 goes first: a larger number is less urgent.
     #[serde(default, deserialize_with = "wire::small")]
     priority: u32,
@@ -138,6 +140,7 @@
             kind: kind(&wire.kind),
             timeout: wire.timeout_ms,
             target_latency: wire.target_latency_ms,
+            target_gap: wire.target_gap_ms,
             priority: rank(f64::from(wire.priority)),
             targets,
             max_attempts: wire.max_attempts.max(1),
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -146,7 +146,15 @@
                 last_event_id: None,
                 was_sent: false,
             };
-            let answer = attempt.run(body, size_bytes).await;
+            let answer = {
+                let silence = self.prepared.route.longest_silence();
+                let mut running = std::pin::pin!(attempt.run(body, size_bytes));
+                match tokio::time::timeout(silence, running.as_mut()).await {
+                    Ok(answer) => answer,
+                    Err(_) if self.takes_repeat() => Err(Failure::Silent),
+                    Err(_) => running.await,
+                }
+            };
             let (failure, whole) = match self.receive(answer, ticket, &progress).await {
                 Brought::Whole(whole) => return self.pass_on(progress, whole),
                 Brought::Begun(streaming) => return stream::respond(*streaming, self, progress),
@@ -289,7 +297,8 @@
                 return Err(refusal);
             }
         };
-        if is_repeat && !fleet.try_repeat(now, service) {
+        let is_paid = failure == Failure::Silent;
+        if is_repeat && !is_paid && !fleet.try_repeat(now, service) {
             drop(fleet);
             let refusal = Refusal::not_run(RefusalReason::RetryBudget, Some(retry_after));
             self.log_failure(failure, &refusal);
@@ -306,6 +315,19 @@
         Ok(())
     }
 
+    /// Tells whether a silent attempt is given up for another one, and takes that from the retry
+    /// budget. Silence alone is no reason to end a request.
+    pub(super) fn takes_repeat(&self) -> bool {
+        let route = &self.prepared.route;
+        let now = self.shared.now();
+        let remaining = self.prepared.deadline.remaining(now);
+        let has_run_left = self.runs + 1 < route.max_attempts;
+        route.may_repeat()
+            && has_run_left
+            && remaining > route.target_latency
+            && self.shared.fleet().try_repeat(now, &self.prepared.service)
+    }
+
     /// Logs a failed attempt that no other follows.
     fn log_failure(&self, failure: Failure, refusal: &Refusal) {
         event::ATTEMPT_FAILED.log(&[
@@ -364,6 +386,7 @@
         | Failure::NotSent
         | Failure::Moved
         | Failure::Broken
+        | Failure::Silent
         | Failure::Foreign => Symptom::Broken,
     }
 }
--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -1,6 +1,7 @@
 //! Passes on an answer while it arrives, and goes on at another upstream where one breaks off.
 
 use std::pin::Pin;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -10,7 +11,7 @@
 use hyper::body::Incoming;
 use teaselworks_policy::retry::Failure;
 use teaselworks_policy::upstream::Symptom;
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 use super::EventSplitter;
 use super::attempt::{Answer, Attempt};
@@ -68,6 +69,8 @@
         source: Some(source),
         splitter,
         deadline: Box::pin(tokio::time::sleep(remaining)),
+        silence: Box::pin(tokio::time::sleep(serving.prepared.route.longest_silence())),
+        last_at: serving.shared.now(),
         serving,
         progress,
     };
@@ -100,6 +103,10 @@
     /// Fires at the end of the request's time. One timer for the whole answer: one for each event
     /// would cost more than passing it on.
     deadline: Pin<Box<Sleep>>,
+    /// Fires when the answer may have been silent for too long; set again from the last arrival only
+    /// then.
+    silence: Pin<Box<Sleep>>,
+    last_at: Duration,
     serving: Serving,
     progress: Progress,
 }
@@ -111,7 +118,7 @@
             let data = match self.arriving().await? {
                 Some(data) => data,
                 None if self.has_part() => {
-                    self.resume().await?;
+                    self.resume(Failure::Broken).await?;
                     continue;
                 }
                 None => return Ok(None),
@@ -137,7 +144,12 @@
                 biased;
                 frame = source.body.frame() => frame,
                 () = &mut self.deadline => return Err(BodyError::Deadline),
+                () = &mut self.silence => {
+                    self.on_silence().await?;
+                    continue;
+                }
             };
+            self.last_at = self.serving.shared.now();
             match frame {
                 None => return Ok(None),
                 // Trailers are for one connection only.
@@ -145,17 +157,34 @@
                     Ok(data) => return Ok(Some(data)),
                     Err(_trailers) => {}
                 },
-                Some(Err(_)) => self.resume().await?,
+                Some(Err(_)) => self.resume(Failure::Broken).await?,
             }
         }
     }
 
+    /// Goes on elsewhere where the answer has been silent for too long and may be resumed.
+    async fn on_silence(&mut self) -> Result<(), BodyError> {
+        let longest = self.serving.prepared.route.longest_silence();
+        let now = self.serving.shared.now();
+        let silent = now.saturating_sub(self.last_at);
+        if silent < longest {
+            self.silence.as_mut().reset(Instant::now() + (longest - silent));
+            return Ok(());
+        }
+        self.silence.as_mut().reset(Instant::now() + longest);
+        if self.splitter.is_some() && self.serving.takes_repeat() {
+            self.resume(Failure::Silent).await?;
+            self.last_at = self.serving.shared.now();
+        }
+        Ok(())
+    }
+
     fn has_part(&self) -> bool {
         self.splitter.as_ref().is_some_and(EventSplitter::holds_part)
     }
 
     /// Goes on at another upstream after the last whole event.
-    async fn resume(&mut self) -> Result<(), BodyError> {
+    async fn resume(&mut self, mut failure: Failure) -> Result<(), BodyError> {
         // The connection is closed before another upstream goes on with the work.
         if let Some(mut source) = self.source.take() {
             source.ticket.observe(Symptom::Broken);
@@ -163,7 +192,6 @@
         let Some(splitter) = &mut self.splitter else { return Err(BodyError::Broken) };
         splitter.drop_part();
         let last_id = splitter.last_id().map(str::to_owned);
-        let mut failure = Failure::Broken;
         loop {
             self.serving.next(failure, true).map_err(|_| BodyError::Broken)?;
             let after = last_id.as_deref();
--- a/teaselworks/tests/answers.rs
+++ b/teaselworks/tests/answers.rs
@@ -283,6 +283,33 @@
     fleet.routers[0].logged("attempt_retried", 4).await.unwrap();
 }
 
+/// Symptom: a lookup, or a gloss that may be resumed, waits for its deadline. Sequence: a replica
+/// goes silent, before its answer or in the middle of it. Cause: only an end is taken for a failure.
+#[tokio::test]
+async fn what_may_repeat_leaves_a_silent_replica() {
+    let mut plan = Plan::default();
+    for prefix in ["/read/", "/gloss/"] {
+        plan.find(prefix)["target_latency_ms"] = json!(50);
+        plan.find(prefix)["target_gap_ms"] = json!(50);
+    }
+    let fleet = fleet_with(1, plan, &json!({})).await;
+    fleet.services[0].set_behaviour(|_| Script::of(vec![Step::Silence]));
+    fleet.engines[0]
+        .set_behaviour(|seen| Script::stream(seen, 1..3, GAP, false).then(Step::Silence));
+    fleet.engines[1].set_behaviour(|seen| {
+        let last = seen.head.header("last-event-id").and_then(|id| id.parse().ok());
+        Script::stream(seen, last.unwrap_or(0) + 1..6, GAP, true)
+    });
+    for turn in 0..8 {
+        let reply = answered(&fleet, request("GET", "/read/a", &format!("s{turn}"))).await;
+        assert_eq!((reply.status(), reply.text().as_str()), (200, "a verse"));
+        let reply = answered(&fleet, chat("/gloss/a", &format!("d{turn}"), turn)).await;
+        assert_eq!((reply.events(), reply.body.is_whole), (vec![1, 2, 3, 4, 5], true));
+    }
+    let refused = fleet.routers[0].events("request_refused");
+    assert!(refused.is_empty(), "{refused:?}");
+}
+
 /// Symptom: a caller waits for an answer that cannot come any more, or is told that its request has
 /// not run. Sequence: a replica is silent until the request's time has passed.
 #[tokio::test]
--- a/teaselworks_policy/src/configuration/route.rs
+++ b/teaselworks_policy/src/configuration/route.rs
@@ -5,6 +5,10 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Silence that is longer than callers aim at by so much is not awaited: an answer that came then
+/// would earn what a late one does, and callers leave a stream after eight times its pause.
+const SILENCE_FACTOR: u32 = 3;
+
 /// What a route carries.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -40,6 +44,8 @@
     pub timeout: Duration,
     /// Time to the answer, or to the first event, that callers aim at.
     pub target_latency: Duration,
+    /// Longest pause between events that callers aim at.
+    pub target_gap: Duration,
     /// Rank of the requests; 0 is the most urgent.
     pub priority: u8,
     /// Where requests go.
@@ -71,6 +77,22 @@
         }
     }
 
+    /// Returns the silence after which a request that may run again is asked elsewhere.
+    ///
+    /// What goes wrong without it: a replica that went dark, or lost the answer, is waited for until
+    /// the deadline, though another one would have answered long before.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselworks_policy::configuration::{Kind, Route};
+    ///
+    /// let route = Route::example(Kind::Stream, "/a/");
+    /// assert_eq!(route.longest_silence(), Duration::from_millis(1_200));
+    /// ```
+    pub fn longest_silence(&self) -> Duration {
+        self.target_latency.max(self.target_gap) * SILENCE_FACTOR
+    }
+
     /// Picks the service for a request: the same for each look at the same identifier.
     ///
     /// ```
@@ -110,6 +132,7 @@
             kind,
             timeout: Duration::from_secs(3),
             target_latency: Duration::from_millis(300),
+            target_gap: Duration::from_millis(400),
             priority: 0,
             targets: vec![Target { service: "service".into(), weight: 1 }],
             max_attempts: 1,
--- a/teaselworks_policy/src/retry/decision.rs
+++ b/teaselworks_policy/src/retry/decision.rs
@@ -27,6 +27,8 @@
     Foreign,
     /// The upstream answered that it failed, which counts as executed.
     Failed,
+    /// Nothing came for so long that another upstream is asked.
+    Silent,
 }
 
 impl Failure {
@@ -43,7 +45,9 @@
             Failure::Unreachable | Failure::NotSent | Failure::Rejected | Failure::Moved => {
                 Verdict::NotRun
             }
-            Failure::Broken | Failure::Foreign | Failure::Failed => Verdict::MayHaveRun,
+            Failure::Broken | Failure::Foreign | Failure::Failed | Failure::Silent => {
+                Verdict::MayHaveRun
+            }
         }
     }
 
@@ -70,13 +74,15 @@
     Foreign,
     /// The upstream failed.
     Failed,
+    /// Nothing came.
+    Silent,
     /// A stream broke off and goes on after its last event.
     Resumed,
 }
 
 impl RetryReason {
     /// Every reason, in the order of the metrics.
-    pub const ALL: [RetryReason; 8] = [
+    pub const ALL: [RetryReason; 9] = [
         RetryReason::Unreachable,
         RetryReason::NotSent,
         RetryReason::Rejected,
@@ -84,6 +90,7 @@
         RetryReason::Broken,
         RetryReason::Foreign,
         RetryReason::Failed,
+        RetryReason::Silent,
         RetryReason::Resumed,
     ];
 
@@ -103,6 +110,7 @@
             RetryReason::Broken => "broken",
             RetryReason::Foreign => "foreign",
             RetryReason::Failed => "failed",
+            RetryReason::Silent => "silent",
             RetryReason::Resumed => "resumed",
         }
     }
@@ -118,6 +126,7 @@
             Failure::Broken => RetryReason::Broken,
             Failure::Foreign => RetryReason::Foreign,
             Failure::Failed => RetryReason::Failed,
+            Failure::Silent => RetryReason::Silent,
         }
     }
 }
@@ -174,7 +183,9 @@
         _ if !has_time => RefusalReason::Deadline,
         Failure::Unreachable | Failure::NotSent => RefusalReason::Unreachable,
         Failure::Rejected | Failure::Moved => RefusalReason::Rejected,
-        Failure::Broken | Failure::Foreign | Failure::Failed => RefusalReason::UpstreamFailed,
+        Failure::Broken | Failure::Foreign | Failure::Failed | Failure::Silent => {
+            RefusalReason::UpstreamFailed
+        }
     };
     match verdict {
         Verdict::MayHaveRun => Next::GiveUp(Refusal::may_have_run(reason)),
--- a/teaselworks_policy/tests/retry.rs
+++ b/teaselworks_policy/tests/retry.rs
@@ -7,7 +7,7 @@
 use teaselworks_policy::retry::{Attempts, BudgetSettings, Failure, Next, RetryBudget, decide};
 use teaselworks_policy::verdict::Verdict;
 
-const FAILURES: [Failure; 7] = [
+const FAILURES: [Failure; 8] = [
     Failure::Unreachable,
     Failure::NotSent,
     Failure::Rejected,
@@ -15,6 +15,7 @@
     Failure::Broken,
     Failure::Foreign,
     Failure::Failed,
+    Failure::Silent,
 ];
 
 fn attempts(may_repeat: bool, runs: u32) -> Attempts {
