One accept loop, a limit on callers' connections, and no fields that nobody reads

Ruled out: bounding connections to a replica by its stated limit (pools stay far below it; a reset is retried). Change: net::accept serves all ports; callers' connections take at most three quarters of the descriptors; the unused fields are gone from settings, template and decoded types. Result: all tests green; callers_leave_descriptors_for_upstreams holds 48 connections of 64 descriptors, and the next waits for one to close.

--- a/teaselworks/src/daemon/page.rs
+++ b/teaselworks/src/daemon/page.rs
@@ -13,13 +13,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-use crate::event;
 use crate::net;
 
 /// Longest time that one connection may stay: those who ask come back every few seconds.
 const CONNECTION_TIMEOUT: Duration = Duration::from_secs(30);
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What a page says.
 pub(super) struct Page {
@@ -31,17 +28,7 @@
 pub(super) async fn serve(listener: TcpListener, page: impl Fn() -> Page + Send + Sync + 'static) {
     let page = Arc::new(page);
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                event::ACCEPT_FAILED.log(&[event::text("cause", &error)]);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        if net::watch_peer(&stream).is_err() {
-            continue;
-        }
+        let stream = net::accept(&listener).await;
         let page = page.clone();
         let service = service_fn(move |_: Request<Incoming>| {
             let response = respond(page());
--- a/teaselworks/src/daemon/serve.rs
+++ b/teaselworks/src/daemon/serve.rs
@@ -99,7 +99,7 @@
     }));
     let asked = shared.clone();
     tokio::spawn(page::serve(ports.health, move || readiness(&asked)));
-    let port = CallerPort::new(shared);
+    let port = CallerPort::new(shared, settings.limits.file_descriptors);
     let connections = port.connections();
     tokio::spawn(port.run(ports.callers));
     Ok(move || connections.count())
--- a/teaselworks/src/net.rs
+++ b/teaselworks/src/net.rs
@@ -7,6 +7,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+use crate::event;
+
 /// Longest time to open a connection. A way within a region takes milliseconds; a first packet that
 /// is lost is sent again after a second, and another upstream is reached sooner than that.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -16,6 +18,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 /// Probes without an answer that end a connection.
 const PROBES: u32 = 2;
+/// Pause after a connection could not be accepted: descriptors are free again when others close.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Connections that may wait to be accepted; a burst beyond it would lose seconds.
 const BACKLOG: u32 = 1_024;
 
@@ -43,6 +47,20 @@
     socket.set_tcp_keepalive(&probes)
 }
 
+/// Accepts the next connection; failures are logged and waited out.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        let accepted = listener.accept().await;
+        match accepted.and_then(|(stream, _)| watch_peer(&stream).map(|()| stream)) {
+            Ok(stream) => return stream,
+            Err(error) => {
+                event::ACCEPT_FAILED.log(&[event::text("cause", &error)]);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Listens on an address.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
--- a/teaselworks/src/peers/server.rs
+++ b/teaselworks/src/peers/server.rs
@@ -11,27 +11,17 @@
 use super::message::{decode, encode};
 use super::{Answer, PeerError, Question};
 use crate::beliefs::Held;
-use crate::event;
 use crate::net;
 
 /// Longest silence of a router that asks; those that follow the news ask each second.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest time for which an answer waits for news.
 const WAIT_MAX: Duration = Duration::from_secs(10);
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Answers routers until the process ends.
 pub async fn serve(listener: TcpListener, held: Arc<Held>) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                event::ACCEPT_FAILED.log(&[event::text("cause", &error)]);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = net::accept(&listener).await;
         let held = held.clone();
         tokio::spawn(async move {
             // The one that asked logs what went wrong.
@@ -41,7 +31,6 @@
 }
 
 async fn answer(stream: TcpStream, held: &Held) -> Result<(), PeerError> {
-    net::watch_peer(&stream).map_err(|_| PeerError::Broken)?;
     let mut socket = accept_async(stream).await.map_err(|_| PeerError::Broken)?;
     loop {
         let message = tokio::time::timeout(SILENCE_TIMEOUT, socket.next()).await;
--- a/teaselworks/src/platform/configuration.rs
+++ b/teaselworks/src/platform/configuration.rs
@@ -6,8 +6,7 @@
 
 use serde::Deserialize;
 use teaselworks_policy::configuration::{
-    Configuration, Engine, Kind, RequestLimits, Route, Routes, Service, Target, Workspace,
-    Workspaces,
+    Configuration, Kind, RequestLimits, Route, Routes, Service, Target, Workspace, Workspaces,
 };
 
 use super::{DecodeError, wire};
@@ -70,19 +69,11 @@
 #[derive(Deserialize)]
 struct WireService {
     name: Arc<str>,
-    /// Connections to one replica from all callers together, not to the service.
-    #[serde(default, deserialize_with = "wire::small")]
-    connection_limit: u32,
     engine: Option<WireEngine>,
 }
 
 #[derive(Deserialize)]
 struct WireEngine {
-    #[serde(deserialize_with = "wire::small")]
-    slots: u32,
-    /// Tokens, not bytes.
-    #[serde(deserialize_with = "wire::whole")]
-    kv_capacity: u64,
     /// Engines copy memory from each other.
     #[serde(default)]
     moves: bool,
@@ -167,12 +158,7 @@
 
 impl From<WireService> for Service {
     fn from(wire: WireService) -> Self {
-        let engine = wire.engine.map(|engine| Engine {
-            slots: engine.slots,
-            memory_tokens: engine.kv_capacity,
-            copies_prompts: engine.moves,
-        });
-        Self { connections_per_replica: wire.connection_limit, engine }
+        Self { copies_prompts: wire.engine.is_some_and(|engine| engine.moves) }
     }
 }
 
--- a/teaselworks/src/relay/caller.rs
+++ b/teaselworks/src/relay/caller.rs
@@ -18,12 +18,16 @@
 use super::body::Guarded;
 use super::io::{Activity, CallerStream};
 use super::serve::serve;
-use crate::event;
 use crate::kernel::ShutdownPhase;
 use crate::net;
 
-/// Pause after a connection could not be accepted: descriptors are free again when others close.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Part of the descriptors that callers' connections may take; the rest is for upstreams, the store,
+/// other routers and files.
+const CALLERS_SHARE: f64 = 0.75;
+/// Time between looks for room where callers hold all that they may.
+const ROOM_LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Shortest time between looks at a connection that is idle.
+const SHORTEST_LOOK: Duration = Duration::from_millis(50);
 /// Smallest buffer that the HTTP library allows for a head.
 const HEAD_BUFFER_MIN_BYTES: usize = 8 << 10;
 
@@ -55,12 +59,17 @@
 pub struct CallerPort {
     shared: Arc<Shared>,
     open: OpenConnections,
+    most: usize,
 }
 
 impl CallerPort {
-    /// Makes the port.
-    pub fn new(shared: Arc<Shared>) -> Self {
-        Self { shared, open: OpenConnections::default() }
+    /// Makes the port of a process that may have so many descriptors.
+    ///
+    /// What goes wrong without a limit: callers' connections take every descriptor, and none is left
+    /// to reach an upstream.
+    pub fn new(shared: Arc<Shared>, file_descriptors: u32) -> Self {
+        let most = f64::from(file_descriptors) * CALLERS_SHARE;
+        Self { shared, open: OpenConnections::default(), most: most as usize }
     }
 
     /// Returns the count of open connections.
@@ -71,24 +80,19 @@
     /// Serves connections until the process ends.
     pub async fn run(self, listener: TcpListener) {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let shared = self.shared.clone();
-                    // One that comes while the router finishes is refused what it asks, and not
-                    // waited for.
-                    let is_late = shared.shutdown.phase() >= ShutdownPhase::Draining;
-                    let connection = (!is_late).then(|| self.open.open());
-                    tokio::spawn(async move {
-                        // A caller that breaks off is told of in the line of its request.
-                        let _ = serve_connection(shared, stream).await;
-                        drop(connection);
-                    });
-                }
-                Err(error) => {
-                    event::ACCEPT_FAILED.log(&[event::text("cause", &error)]);
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
+            while self.open.count() >= self.most {
+                tokio::time::sleep(ROOM_LOOK_INTERVAL).await;
             }
+            let stream = net::accept(&listener).await;
+            let shared = self.shared.clone();
+            // One that comes while the router finishes is refused what it asks, and not waited for.
+            let is_late = shared.shutdown.phase() >= ShutdownPhase::Draining;
+            let connection = (!is_late).then(|| self.open.open());
+            tokio::spawn(async move {
+                // A caller that breaks off is told of in the line of its request.
+                let _ = serve_connection(shared, stream).await;
+                drop(connection);
+            });
         }
     }
 }
@@ -113,7 +117,6 @@
 }
 
 async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) -> io::Result<()> {
-    net::watch_peer(&stream)?;
     let limits = limits(&shared);
     let activity = Arc::new(Activity::new(shared.now()));
     let io = CallerStream { stream, activity: activity.clone(), clock: shared.clock.clone() };
@@ -160,7 +163,7 @@
             connection.as_mut().graceful_shutdown();
         }
         let pause = due.map_or(limits.idle_timeout, |due| due.saturating_sub(now));
-        let pause = pause.max(ACCEPT_PAUSE).min(limits.header_timeout);
+        let pause = pause.max(SHORTEST_LOOK).min(limits.header_timeout);
         check.as_mut().reset(tokio::time::Instant::now() + pause);
     }
 }
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -205,7 +205,7 @@
     /// Tells whether the engines of the service can copy prompts from each other.
     fn copies_prompts(&self) -> bool {
         let service = self.configuration.services.get(&self.prepared.service);
-        service.and_then(|service| service.engine).is_some_and(|engine| engine.copies_prompts)
+        service.is_some_and(|service| service.copies_prompts)
     }
 
     /// Takes over the count of a placement.
--- a/teaselworks/src/settings/mod.rs
+++ b/teaselworks/src/settings/mod.rs
@@ -85,14 +85,12 @@
 pub struct LimitSettings {
     /// Descriptors of files and sockets.
     pub file_descriptors: u32,
-    /// Memory.
-    pub memory_mb: u32,
 }
 
 impl Default for LimitSettings {
-    /// Returns the sizes of the smallest VMs in use.
+    /// Returns the usual limit of a process.
     fn default() -> Self {
-        Self { file_descriptors: 1_024, memory_mb: 160 }
+        Self { file_descriptors: 1_024 }
     }
 }
 
--- a/teaselworks/tests/platform.rs
+++ b/teaselworks/tests/platform.rs
@@ -35,7 +35,7 @@
             "resumable": true,
             "traffic_split": [{ "service": "a", "weight": 90 }, { "service": "b", "weight": 10 }]
         }],
-        "services": [{ "name": "a", "connection_limit": 300, "engine": { "slots": 48, "kv_capacity": 7e5 } }],
+        "services": [{ "name": "a", "connection_limit": 300, "engine": { "slots": 48, "kv_capacity": 7e5, "moves": true } }, { "name": "b" }],
         "tenants": [{ "name": "choir", "api_keys": ["k1", "k2"], "priority": 1 }]
     }));
     assert_eq!(configuration.version, 7);
@@ -46,7 +46,8 @@
         (0..1_000).filter(|id| &*route.service_for(&format!("{id}")).unwrap() == "b").count();
     assert!((50..200).contains(&to_b), "{to_b}");
     assert_eq!(configuration.workspaces.find("k2").unwrap().priority, Some(1));
-    assert_eq!(configuration.services["a"].engine.unwrap().memory_tokens, 700_000);
+    assert!(configuration.services["a"].copies_prompts);
+    assert!(!configuration.services["b"].copies_prompts);
 }
 
 /// Symptom: what must run once runs twice. Sequence: a later platform has a kind of route that this
--- a/teaselworks/tests/requests.rs
+++ b/teaselworks/tests/requests.rs
@@ -217,3 +217,30 @@
     let seen: Vec<_> = fleet.services.iter().flat_map(|service| service.seen()).collect();
     assert_eq!(seen[0].head.header("x-tenant"), None);
 }
+
+/// Symptom: requests of connected callers fail since no connection to an upstream can be opened.
+/// Sequence: callers open more connections than the process has descriptors. Cause: callers' connections
+/// take every one.
+#[tokio::test]
+async fn callers_leave_descriptors_for_upstreams() {
+    let mut fleet = fleet(1).await;
+    let router = &mut fleet.routers[0];
+    router.signal(nix::sys::signal::Signal::SIGKILL).unwrap();
+    router.ended().await.unwrap();
+    router.change_settings(|settings| settings["limits"]["file_descriptors"] = json!(64)).unwrap();
+    router.spawn().unwrap();
+    router.ready().await.unwrap();
+    let mut open = Vec::new();
+    for number in 0..48 {
+        let mut connection = Connection::open(router.callers()).await.unwrap();
+        let sent = request("GET", "/read/a", &format!("c{number}"));
+        assert_eq!(connection.call(&sent).await.unwrap().unwrap().status(), 200);
+        open.push(connection);
+    }
+    let mut late = Connection::open(router.callers()).await.unwrap();
+    late.send(&request("GET", "/read/a", "late")).await.unwrap();
+    let waiting = tokio::time::timeout(Duration::from_millis(300), late.reply()).await;
+    assert!(waiting.is_err(), "{waiting:?}");
+    drop(open.pop());
+    assert_eq!(late.reply().await.unwrap().unwrap().status(), 200);
+}
--- a/teaselworks/tests/settings.rs
+++ b/teaselworks/tests/settings.rs
@@ -68,7 +68,7 @@
         },
         "internal_ports": [7340, 7355],
         "seeds": ["10.1.0.40:8229", "10.2.0.29:8229"],
-        "limits": { "memory_mb": 260, "file_descriptors": 4200 },
+        "limits": { "file_descriptors": 4200 },
         "bounds": {
             "grace_s": 9, "config_apply_ms": 2000, "drain_ms": 1800, "retry_budget_ratio": 0.25,
             "retry_budget_slack": 54, "budget_window_s": 10, "capacity_factor": 3
--- a/teaselworks_policy/src/configuration/mod.rs
+++ b/teaselworks_policy/src/configuration/mod.rs
@@ -28,22 +28,9 @@
 }
 
 /// A group of replicas that answer the same requests.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Service {
-    /// Connections that one replica accepts from all callers together.
-    pub connections_per_replica: u32,
-    /// Present for a service of model engines.
-    pub engine: Option<Engine>,
-}
-
-/// Size of each engine of a service.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Engine {
-    /// Requests that one engine generates for at once.
-    pub slots: u32,
-    /// Tokens of prompts and answers that one engine holds.
-    pub memory_tokens: u64,
-    /// An engine can copy parts of prompts from another one.
+pub struct Service {
+    /// Its replicas are engines that can copy parts of prompts from each other.
     pub copies_prompts: bool,
 }
 
