A long request that was turned away is refused as not run

When its replica turned the request away, the router placed it once more, found no body and answered 502, though it had not run; a silent attempt of such a request would have been given up for nothing. Ruled out: holding larger bodies (memory of the smallest VMs). Change: without a held body no further attempt is decided on; the verdict of the attempts made stands.

--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -84,6 +84,11 @@
 }
 
 impl RequestBody {
+    /// Tells whether all of it is there for another attempt.
+    pub(super) fn is_held(&self) -> bool {
+        matches!(self, RequestBody::Held(_))
+    }
+
     /// Returns the body for an attempt and its length where the message must state it; `None`
     /// where it was sent already.
     pub(super) fn for_attempt(&mut self) -> Option<(Outgoing, Option<u64>)> {
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -277,9 +277,11 @@
             self.runs += 1;
         }
         let now = self.shared.now();
+        // A body that was sent on while it arrived is gone: no other upstream can be offered it.
+        let offers = if self.body.is_held() { self.attempts() } else { u32::MAX };
         let attempts = Attempts {
             may_repeat: self.prepared.route.may_repeat(),
-            offers: self.attempts(),
+            offers,
             runs: self.runs,
             max_runs: self.prepared.route.max_attempts,
             remaining: self.prepared.deadline.remaining(now),
@@ -309,7 +311,7 @@
         event::ATTEMPT_RETRIED.log(&[
             event::text("request", &self.prepared.facts.id),
             event::text("reason", &reason.as_str()),
-            event::number("attempt", attempts.offers.into()),
+            event::number("attempt", self.attempts().into()),
             event::text("upstream", &self.tried.last().map_or("", |id| id)),
         ]);
         Ok(())
@@ -323,6 +325,7 @@
         let remaining = self.prepared.deadline.remaining(now);
         let has_run_left = self.runs + 1 < route.max_attempts;
         route.may_repeat()
+            && self.body.is_held()
             && has_run_left
             && remaining > route.target_latency
             && self.shared.fleet().try_repeat(now, &self.prepared.service)
--- a/teaselworks/tests/answers.rs
+++ b/teaselworks/tests/answers.rs
@@ -136,6 +136,20 @@
     assert_eq!(runs(&fleet, "n"), 0);
 }
 
+/// Symptom: a caller whose request has not run is told that it may have. Sequence: a body that is too
+/// long to be held is sent on while it arrives; the replica turns it away. Cause: that it cannot be
+/// sent again is taken for a failure after it ran.
+#[tokio::test]
+async fn a_long_request_that_was_turned_away_is_refused_as_not_run() {
+    let fleet = fleet(1).await;
+    services(&fleet, Script::rejected);
+    let body = "x".repeat(400_000);
+    let reply = answered(&fleet, request("POST", "/write/a", "long").body(&body)).await;
+    assert_eq!(reply.status(), 503);
+    let arrivals: usize = fleet.services.iter().map(|service| service.seen().len()).sum();
+    assert_eq!((arrivals, runs(&fleet, "long")), (1, 0));
+}
+
 #[tokio::test]
 async fn replicas_that_cannot_be_reached_are_left_for_others() {
     let fleet = fleet(1).await;
