A stopping router serves what will be done in time

Cause: a stopping router refused everything after three eighths of its grace, with Retry-After 0. Where routers are stopped one second apart, fewer than half of a zone are in rotation and the balancer uses all of them, so that the one retry of a caller met another stopping router.

Change: the stop plan admits a request that will be done before the router ends, by the measured times of its route and its own limit, and refuses what would be cut, with a time to return: at once where most other routers are registered, else when this one is gone. Connections that come late count as in progress once they ask something.

Seen red on the version before: stop::a_planned_stop_finishes_what_is_in_progress (it asked for the refusal that is gone; it now asks for an answer of a short request and the refusal of one that would be cut), stop::callers_are_served_while_every_router_stops.

Streams after the third second are still refused: their longest is too near to what is left.

--- a/teaselworks/src/daemon/serve.rs
+++ b/teaselworks/src/daemon/serve.rs
@@ -51,7 +51,7 @@
         requested = stop::requested() => requested?,
         ended = reloading => ended?,
     }
-    stop::run(&*shared.clock, &shutdown, grace, in_progress).await;
+    stop::run(&shared, grace, in_progress).await;
     Ok(())
 }
 
--- a/teaselworks/src/daemon/stop.rs
+++ b/teaselworks/src/daemon/stop.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use teaselworks_policy::clock::Clock;
 use teaselworks_policy::stop::{Phase, StopPlan};
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::StartError;
 use crate::event;
-use crate::kernel::{Shutdown, ShutdownPhase};
+use crate::kernel::ShutdownPhase;
+use crate::relay::Shared;
 
 /// Time between looks at what is still in progress.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
@@ -25,23 +25,18 @@
 }
 
 /// Leads the process through a planned stop; `in_progress` counts what must not be cut.
-pub(super) async fn run(
-    clock: &dyn Clock,
-    shutdown: &Shutdown,
-    grace: Duration,
-    in_progress: impl Fn() -> usize,
-) {
+pub(super) async fn run(shared: &Shared, grace: Duration, in_progress: impl Fn() -> usize) {
     let plan = StopPlan::new(grace);
-    let began = clock.monotonic();
+    let began = shared.now();
     event::STOP_REQUESTED.log(&[event::number("grace_ms", grace.as_millis() as u64)]);
-    shutdown.advance(ShutdownPhase::Notice);
+    shared.begin_stop(plan);
     loop {
-        let elapsed = clock.monotonic().saturating_sub(began);
+        let elapsed = shared.now().saturating_sub(began);
         match plan.phase(elapsed, in_progress()) {
             Phase::Taking => {}
-            Phase::Finishing if shutdown.phase() < ShutdownPhase::Draining => {
+            Phase::Finishing if shared.shutdown.phase() < ShutdownPhase::Draining => {
                 event::FINISHING.log(&[event::number("in_progress", in_progress() as u64)]);
-                shutdown.advance(ShutdownPhase::Draining);
+                shared.shutdown.advance(ShutdownPhase::Draining);
             }
             Phase::Finishing => {}
             Phase::Ended => break,
--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -20,8 +20,8 @@
 catalogue! {
     // 0-99: the process.
     ROUTER_STARTED = 1 Info "router_started" "The router listens on all its ports.";
-    STOP_REQUESTED = 2 Info "stop_requested" "A planned stop began: the router reports that it is not ready and asks callers to reconnect.";
-    FINISHING = 3 Info "finishing" "New requests are refused; those in progress finish.";
+    STOP_REQUESTED = 2 Info "stop_requested" "A planned stop began: the router reports that it is not ready, asks callers to reconnect, and refuses what would be cut.";
+    FINISHING = 3 Info "finishing" "Idle connections are closed; the router ends when nothing is in progress.";
     ROUTER_STOPPED = 4 Info "router_stopped" "The router ended after a planned stop; requests in progress were cut where the grace period had passed.";
     START_FAILED = 6 Error "start_failed" "The router could not start; the detail names the cause.";
     SETTINGS_RELOADED = 7 Info "settings_reloaded" "The settings file changed and was read again.";
--- a/teaselworks/src/kernel/shutdown.rs
+++ b/teaselworks/src/kernel/shutdown.rs
@@ -9,9 +9,9 @@
 pub enum ShutdownPhase {
     /// Serving.
     Running,
-    /// The health check fails and peers are told; requests are still taken.
+    /// The health check fails and peers are told; requests that will be done in time are taken.
     Notice,
-    /// New requests are refused; those in progress finish.
+    /// Idle connections are closed; requests in progress finish.
     Draining,
     /// Everything ends.
     Stopped,
--- a/teaselworks/src/relay/caller.rs
+++ b/teaselworks/src/relay/caller.rs
@@ -2,8 +2,8 @@
 
 use std::convert::Infallible;
 use std::io;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use http::{HeaderValue, Request, header};
@@ -41,7 +41,7 @@
         self.0.load(Ordering::Relaxed)
     }
 
-    fn open(&self) -> OpenConnection {
+    fn add(&self) -> OpenConnection {
         self.0.fetch_add(1, Ordering::Relaxed);
         OpenConnection(self.0.clone())
     }
@@ -55,6 +55,24 @@
     }
 }
 
+/// The place of one connection in the number of open ones, once it has any.
+#[derive(Clone)]
+struct Counted {
+    open: OpenConnections,
+    place: Arc<Mutex<Option<OpenConnection>>>,
+}
+
+impl Counted {
+    fn new(open: &OpenConnections) -> Self {
+        Self { open: open.clone(), place: Arc::default() }
+    }
+
+    fn begin(&self) {
+        let mut place = self.place.lock().expect("the lock is never poisoned");
+        place.get_or_insert_with(|| self.open.add());
+    }
+}
+
 /// The port that callers connect to.
 pub struct CallerPort {
     shared: Arc<Shared>,
@@ -85,13 +103,14 @@
             }
             let stream = net::accept(&listener).await;
             let shared = self.shared.clone();
-            // One that comes while the router finishes is refused what it asks, and not waited for.
-            let is_late = shared.shutdown.phase() >= ShutdownPhase::Draining;
-            let connection = (!is_late).then(|| self.open.open());
+            let count = Counted::new(&self.open);
+            // One that comes while the router finishes is not waited for until it asks something.
+            if shared.shutdown.phase() < ShutdownPhase::Draining {
+                count.begin();
+            }
             tokio::spawn(async move {
                 // A caller that breaks off is told of in the line of its request.
-                let _ = serve_connection(shared, stream).await;
-                drop(connection);
+                let _ = serve_connection(shared, stream, count).await;
             });
         }
     }
@@ -116,14 +135,20 @@
     }
 }
 
-async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) -> io::Result<()> {
+async fn serve_connection(
+    shared: Arc<Shared>,
+    stream: TcpStream,
+    count: Counted,
+) -> io::Result<()> {
     let limits = limits(&shared);
     let activity = Arc::new(Activity::new(shared.now()));
     let io = CallerStream { stream, activity: activity.clone(), clock: shared.clock.clone() };
     let service = service_fn(|request: Request<Incoming>| {
         let shared = shared.clone();
         let activity = activity.clone();
+        let count = count.clone();
         async move {
+            count.begin();
             let guard = InRequest::begin(&shared, activity);
             let mut response = serve(shared.clone(), request).await;
             // Told in each answer of a router that stops, so that callers come back elsewhere.
@@ -140,8 +165,7 @@
         .serve_connection(TokioIo::new(io), service);
     let mut connection = std::pin::pin!(connection);
     let mut check = std::pin::pin!(tokio::time::sleep(limits.header_timeout));
-    // A late connection would be closed before its request is read; refusing it tells its caller
-    // when to return.
+    // A late connection would be closed before its request is read.
     let mut is_closing = shared.shutdown.phase() >= ShutdownPhase::Draining;
     loop {
         tokio::select! {
--- a/teaselworks/src/relay/outcome.rs
+++ b/teaselworks/src/relay/outcome.rs
@@ -41,8 +41,9 @@
     pub(super) fn answered(mut self, status: u16, upstream: &str, attempts: u32) {
         self.has_ended = true;
         let elapsed = self.elapsed();
-        if let Some((_, kind)) = &self.route {
+        if let Some((route, kind)) = &self.route {
             self.shared.metrics.add_answer(*kind, elapsed);
+            self.shared.fleet().on_answered(route, elapsed);
         }
         event::REQUEST_ANSWERED.log(&[
             event::text("request", &self.id),
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -20,7 +20,6 @@
 use super::stream::{self, Streaming};
 use super::ticket::Ticket;
 use crate::event;
-use crate::kernel::ShutdownPhase;
 use crate::platform::headers;
 
 /// Time after which a caller that came before the configuration was known should come back: a
@@ -48,15 +47,14 @@
         return refuse(progress, Some(&id), &refusal, 0, None);
     };
     let version = Some(configuration.version);
-    if shared.shutdown.phase() >= ShutdownPhase::Draining {
-        let refusal = Refusal::not_run(RefusalReason::Stopping, Some(std::time::Duration::ZERO));
-        return refuse(progress, Some(&id), &refusal, 0, version);
-    }
     let prepared = match request::check(head, facts, &configuration, shared.now()) {
         Ok(prepared) => prepared,
         Err(reason) => return refuse(progress, Some(&id), &plain(reason), 0, version),
     };
     progress.set_route(prepared.route.name.clone(), prepared.route.kind);
+    if let Err(refusal) = shared.admit(&prepared.route.name, &prepared.deadline) {
+        return refuse(progress, Some(&id), &refusal, 0, version);
+    }
     shared.fleet().on_request(shared.now(), &prepared.service);
     let body = request::read_body(incoming, &prepared.headers, &configuration.limits).await;
     match body {
--- a/teaselworks/src/relay/shared.rs
+++ b/teaselworks/src/relay/shared.rs
@@ -1,13 +1,16 @@
 //! What every request of a router shares.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
 use teaselworks_policy::clock::Clock;
+use teaselworks_policy::deadline::Deadline;
 use teaselworks_policy::fleet::Fleet;
+use teaselworks_policy::stop::StopPlan;
+use teaselworks_policy::verdict::Refusal;
 
 use super::Connections;
-use crate::kernel::Shutdown;
+use crate::kernel::{Shutdown, ShutdownPhase};
 use crate::metrics::Metrics;
 
 /// State and services that every request uses.
@@ -20,6 +23,8 @@
     pub connections: Connections,
     /// Phase of a planned stop.
     pub shutdown: Shutdown,
+    /// Plan of a planned stop and when that began.
+    stop: OnceLock<(StopPlan, Duration)>,
     /// Zone of this router.
     pub zone: Arc<str>,
     fleet: Mutex<Fleet>,
@@ -35,7 +40,8 @@
         fleet: Fleet,
     ) -> Self {
         let connections = Connections::new(metrics.clone());
-        Self { clock, metrics, connections, shutdown, zone, fleet: Mutex::new(fleet) }
+        let stop = OnceLock::new();
+        Self { clock, metrics, connections, shutdown, stop, zone, fleet: Mutex::new(fleet) }
     }
 
     /// Returns the time by the steady clock.
@@ -43,6 +49,22 @@
         self.clock.monotonic()
     }
 
+    /// Begins a planned stop; a second one changes nothing.
+    pub fn begin_stop(&self, plan: StopPlan) {
+        let _ = self.stop.set((plan, self.now()));
+        self.shutdown.advance(ShutdownPhase::Notice);
+    }
+
+    /// Refuses a request that a planned stop would cut.
+    pub(super) fn admit(&self, route: &Arc<str>, deadline: &Deadline) -> Result<(), Refusal> {
+        let Some((plan, began)) = self.stop.get() else { return Ok(()) };
+        let now = self.now();
+        let elapsed = now.saturating_sub(*began);
+        let limit = deadline.remaining(now);
+        let latest_return = deadline.latest_return(now);
+        self.fleet().admit_while_stopping(plan, elapsed, route, limit, latest_return)
+    }
+
     /// Locks the beliefs for one decision; nothing is awaited while they are locked.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         self.fleet.lock().expect("no decision panics")
--- a/teaselworks/tests/stop.rs
+++ b/teaselworks/tests/stop.rs
@@ -7,10 +7,16 @@
 use common::{chat, fleet, request};
 use nix::sys::signal::Signal;
 use serde_json::json;
-use teaselworks_standin::caller::{Connection, call};
+use teaselworks_standin::caller::{Call, Connection, call};
+use teaselworks_standin::configuration::{HOST, KEY};
 use teaselworks_standin::fleet::until;
 use teaselworks_standin::upstream::Script;
 
+/// Returns a request whose caller waits for less than a stop lasts.
+fn short(id: &str) -> Call {
+    Call::new("GET", HOST, "/read/a", id).key(KEY).with("X-Deadline-Ms", "1500")
+}
+
 /// Symptom: answers are cut by a planned stop. Sequence: SIGTERM arrives in the middle of a stream;
 /// callers that have not noticed send more. Cause: the process ends with its signal.
 #[tokio::test]
@@ -38,14 +44,53 @@
         .unwrap();
 
     fleet.routers[0].logged("finishing", 1).await.unwrap();
-    let refused = call(address, &request("GET", "/read/a", "4")).await.unwrap();
+    let short = call(address, &short("4")).await.unwrap();
+    assert_eq!((short.status(), short.head.header("connection")), (200, Some("close")));
+    let refused = call(address, &chat("/chat/a", "a2", 2)).await.unwrap();
     assert_eq!(refused.status(), 503);
-    let mut answered = fleet.routers[0].logged("request_answered", 4).await.unwrap();
+    assert!(refused.head.header("retry-after").is_some_and(|after| after != "0.000"));
+    assert_eq!(fleet.engines.iter().map(|engine| engine.runs("a2")).sum::<usize>(), 0);
+    let mut answered = fleet.routers[0].logged("request_answered", 5).await.unwrap();
     let stream = answered.pop().unwrap();
     assert_eq!((stream["request"].as_str(), stream["status"].as_u64()), (Some("a1"), Some(200)));
     assert!(fleet.routers[0].ended().await.unwrap().success());
 }
 
+/// Guards against callers that are refused by one stopping router after the other.
+#[tokio::test]
+async fn callers_are_served_while_every_router_stops() {
+    let mut fleet = fleet(2).await;
+    for engine in &fleet.engines {
+        engine.set_behaviour(|seen| Script::stream(seen, 1..46, Duration::from_millis(100), true));
+    }
+    let addresses: Vec<_> = fleet.routers.iter().map(|router| router.callers()).collect();
+    let mut streams = Vec::new();
+    for (number, address) in addresses.iter().copied().enumerate() {
+        let sent = chat("/chat/a", &format!("s{number}"), 1);
+        streams.push(tokio::spawn(async move { call(address, &sent).await }));
+        call(address, &request("GET", "/read/a", &format!("before{number}"))).await.unwrap();
+    }
+    for router in &fleet.routers {
+        router.signal(Signal::SIGTERM).unwrap();
+    }
+    for router in &fleet.routers {
+        router.logged("finishing", 1).await.unwrap();
+    }
+    for turn in 0..20 {
+        let address = addresses[turn % addresses.len()];
+        let reply = call(address, &short(&format!("r{turn}"))).await.unwrap();
+        assert_eq!(reply.status(), 200, "{turn}");
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+    for stream in streams {
+        assert_eq!(stream.await.unwrap().unwrap().events().len(), 45);
+    }
+    for router in &mut fleet.routers {
+        assert!(router.ended().await.unwrap().success());
+        assert_eq!(router.logged("router_stopped", 1).await.unwrap()[0]["cut"], 0);
+    }
+}
+
 #[tokio::test]
 async fn an_idle_router_stops_before_its_grace_period_ends() {
     let mut fleet = fleet(1).await;
--- a/teaselworks_policy/src/configuration/routes.rs
+++ b/teaselworks_policy/src/configuration/routes.rs
@@ -1,6 +1,6 @@
 //! The route table: host, then the longest prefix of the path.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use super::Route;
@@ -9,6 +9,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Routes {
     hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    names: HashSet<Arc<str>>,
 }
 
 impl Routes {
@@ -24,7 +25,9 @@
     /// ```
     pub fn new(routes: impl IntoIterator<Item = Route>) -> Self {
         let mut hosts: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        let mut names = HashSet::new();
         for route in routes {
+            names.insert(route.name.clone());
             hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in hosts.values_mut() {
@@ -32,7 +35,7 @@
                 b.prefix.len().cmp(&a.prefix.len()).then_with(|| a.prefix.cmp(&b.prefix))
             });
         }
-        Self { hosts }
+        Self { hosts, names }
     }
 
     /// Finds the route of a request; `path` is without its query.
@@ -40,6 +43,11 @@
         self.hosts.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Tells whether a route has a name.
+    pub fn has(&self, name: &str) -> bool {
+        self.names.contains(name)
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -12,6 +12,8 @@
 use crate::membership::Membership;
 use crate::placement::{Demand, Placement, PlacementSettings, place};
 use crate::retry::{BudgetSettings, RetryBudget};
+use crate::stop::{Arrival, StopPlan};
+use crate::times::RouteTimes;
 use crate::upstream::{Change, Incarnation, LoadReport, Pool, Symptom, Upstream};
 use crate::verdict::{Refusal, RefusalReason};
 
@@ -38,6 +40,7 @@
     configuration: Option<Arc<Configuration>>,
     pools: HashMap<Arc<str>, Pool>,
     budget: RetryBudget,
+    times: RouteTimes,
     random: Pcg32,
     /// The other routers.
     pub membership: Membership,
@@ -51,6 +54,7 @@
             configuration: None,
             pools: HashMap::new(),
             budget: RetryBudget::new(settings.budget),
+            times: RouteTimes::default(),
             random: Pcg32::seed_from_u64(seed),
             membership,
         }
@@ -76,6 +80,7 @@
         if in_force.is_some_and(|version| version >= configuration.version) {
             return false;
         }
+        self.times.retain(&configuration.routes);
         self.configuration = Some(Arc::new(configuration));
         true
     }
@@ -114,6 +119,26 @@
         self.pools.get(service)
     }
 
+    /// Tells whether a stopping router will be done with a request in time.
+    pub fn admit_while_stopping(
+        &mut self,
+        plan: &StopPlan,
+        elapsed: Duration,
+        route: &Arc<str>,
+        limit: Duration,
+        latest_return: Duration,
+    ) -> Result<(), Refusal> {
+        let usual = self.times.usual(route);
+        let others_serve = self.membership.most_are_listed();
+        let arrival = Arrival { limit, usual, latest_return, others_serve };
+        plan.admit(elapsed, &arrival, &mut self.random)
+    }
+
+    /// Takes the time from a request to the end of its answer.
+    pub fn on_answered(&mut self, route: &Arc<str>, elapsed: Duration) {
+        self.times.add(route, elapsed);
+    }
+
     /// Counts a request for a service.
     pub fn on_request(&mut self, now: Duration, service: &Arc<str>) {
         self.budget.on_request(now, service);
--- a/teaselworks_policy/src/lib.rs
+++ b/teaselworks_policy/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod placement;
 pub mod retry;
 pub mod stop;
+pub mod times;
 pub mod upstream;
 pub mod verdict;
--- a/teaselworks_policy/src/membership.rs
+++ b/teaselworks_policy/src/membership.rs
@@ -95,6 +95,27 @@
         u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
     }
 
+    /// Tells whether at least half of the other routers that were registered lately still are. One
+    /// that stops ends its registration as it begins to.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselworks_policy::membership::Membership;
+    ///
+    /// let mut membership = Membership::new("a".into(), Vec::new());
+    /// assert!(!membership.most_are_listed(), "there is no other");
+    /// membership.put("b".into(), ([127, 0, 0, 1], 80).into());
+    /// assert!(membership.most_are_listed());
+    /// membership.remove(Duration::ZERO, "b");
+    /// assert!(!membership.most_are_listed());
+    /// ```
+    pub fn most_are_listed(&self) -> bool {
+        let others = self.peers.iter().filter(|(name, _)| **name != self.own);
+        let (listed, unlisted): (Vec<_>, Vec<_>) =
+            others.partition(|(_, peer)| peer.unlisted_since.is_none());
+        !listed.is_empty() && listed.len() >= unlisted.len()
+    }
+
     /// Returns the router that reads the store for this one; `None` where it reads the store itself.
     ///
     /// All routers order the fleet in the same way, so that nothing is agreed on. What goes wrong
