--- a/teaselworks/src/beliefs/held.rs
+++ b/teaselworks/src/beliefs/cache.rs
@@ -64,12 +64,12 @@
 
 /// Items that this router holds.
 #[derive(Debug, Default)]
-pub struct Held {
+pub struct StoreCache {
     state: Mutex<State>,
     standing: watch::Sender<Standing>,
 }
 
-impl Held {
+impl StoreCache {
     /// Returns the revision up to which every change is known.
     pub fn revision(&self) -> u64 {
         self.lock().revision
@@ -99,13 +99,12 @@
 
     /// Returns what is newer than a revision, where it is not larger than a size.
     ///
-    /// What goes wrong without that: a configuration of a thousand routes goes to twenty routers from
-    /// one VM whose network link takes seconds for it, and all of them are late.
+    /// Large news would take the link of this VM from its callers.
     ///
     /// ```
-    /// use teaselworks::beliefs::{Held, News};
+    /// use teaselworks::beliefs::{StoreCache, News};
     ///
-    /// assert_eq!(Held::default().news_after(0, None), News::Nothing);
+    /// assert_eq!(StoreCache::default().news_after(0, None), News::Nothing);
     /// ```
     pub fn news_after(&self, known: u64, largest_bytes: Option<usize>) -> News {
         let news = self.all_after(known);
--- a/teaselworks/src/beliefs/bridge.rs
+++ b/teaselworks/src/beliefs/fallback.rs
@@ -13,26 +13,24 @@
 use crate::peers::{Peer, Question};
 use crate::relay::Shared;
 
-/// Routers asked in one round. Where a third of them cannot read the store either, two in a row
-/// know nothing newer in one round of nine.
+/// Routers asked in one round; one of them may be turned away by the store as well.
 const ASKED: usize = 2;
 
 /// Asks other routers.
-pub struct Bridge {
+pub struct PeerFallback {
     shared: Arc<Shared>,
     random: Pcg32,
 }
 
-impl Bridge {
-    /// Makes a bridge; `seed` sets whom it asks.
+impl PeerFallback {
+    /// Makes a fallback; `seed` sets whom it asks.
     pub fn new(shared: Arc<Shared>, seed: u64) -> Self {
         Self { shared, random: Pcg32::seed_from_u64(seed) }
     }
 
     /// Asks a few routers, and learns from the first that knows something newer.
     ///
-    /// What goes wrong without it: the store turns this router away and serves the others; a key
-    /// that was taken away meanwhile is still accepted here, until the store answers again.
+    /// The store may turn this router away and serve the others.
     pub async fn ask(&mut self, learner: &Learner) {
         let addresses = self.shared.fleet().membership.addresses();
         let asked: Vec<SocketAddr> = addresses.sample(&mut self.random, ASKED).copied().collect();
--- a/teaselworks/src/beliefs/follow.rs
+++ b/teaselworks/src/beliefs/follow.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Bridge, Learner, News, Source};
+use super::{Learner, News, PeerFallback, Source};
 use crate::event;
 use crate::metrics::{Metrics, StoreOutcome};
 use crate::peers::{Peer, Question};
@@ -16,8 +16,7 @@
 /// Part of the bound for which changes are collected after a look that brought some: changes come in
 /// series, and each look is priced.
 const COLLECTING_SHARE: f64 = 0.15;
-/// Largest news that a router takes from another one. Twenty routers get them at once from a VM whose
-/// link carries a megabyte a second at least: half a second in all.
+/// Largest news that a router takes from another one, which sends them to many at once.
 const NEWS_SIZE_MAX_BYTES: usize = 24 << 10;
 /// Time for which a router reads the store itself after the one that reads for it failed.
 const OWN_READING: Duration = Duration::from_secs(5);
@@ -40,7 +39,7 @@
 pub struct Follower {
     store: Store,
     learner: Arc<Learner>,
-    bridge: Bridge,
+    fallback: PeerFallback,
     metrics: Arc<Metrics>,
     news_age: Duration,
     contact: Contact,
@@ -55,14 +54,14 @@
     pub fn new(
         store: Store,
         learner: Arc<Learner>,
-        bridge: Bridge,
+        fallback: PeerFallback,
         metrics: Arc<Metrics>,
         news_age: Duration,
     ) -> Self {
         Self {
             store,
             learner,
-            bridge,
+            fallback,
             metrics,
             news_age,
             contact: Contact::Untried,
@@ -185,7 +184,7 @@
                 event::number("revision", self.learner.revision()),
             ]);
         }
-        self.bridge.ask(&self.learner).await;
+        self.fallback.ask(&self.learner).await;
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
--- a/teaselworks/src/beliefs/learn.rs
+++ b/teaselworks/src/beliefs/learn.rs
@@ -8,7 +8,7 @@
 use teaselworks_policy::configuration::Configuration;
 use teaselworks_policy::upstream::{Change, Listed, Registry};
 
-use super::{Held, News};
+use super::{News, StoreCache};
 use crate::event;
 use crate::platform::{Belief, Item, ItemChange, Snapshot, Subject, decode, subject};
 use crate::relay::Shared;
@@ -34,19 +34,19 @@
 /// Applies news to what the router believes.
 pub struct Learner {
     shared: Arc<Shared>,
-    held: Arc<Held>,
+    cache: Arc<StoreCache>,
     registry: Mutex<Registry>,
 }
 
 impl Learner {
     /// Makes a learner that knows nothing yet.
-    pub fn new(shared: Arc<Shared>, held: Arc<Held>) -> Self {
-        Self { shared, held, registry: Mutex::default() }
+    pub fn new(shared: Arc<Shared>, cache: Arc<StoreCache>) -> Self {
+        Self { shared, cache, registry: Mutex::default() }
     }
 
     /// Returns the revision up to which every change is known.
     pub fn revision(&self) -> u64 {
-        self.held.revision()
+        self.cache.revision()
     }
 
     /// Returns the time by the steady clock.
@@ -61,7 +61,7 @@
 
     /// Notes that the store cannot be read.
     pub fn on_lost(&self) {
-        self.held.set_current(false);
+        self.cache.set_current(false);
         self.registry().on_lost(self.shared.now());
     }
 
@@ -72,13 +72,13 @@
 
     /// Notes that the store can be read, for the first time or again.
     pub fn on_regained(&self) {
-        self.held.set_current(true);
+        self.cache.set_current(true);
         self.registry().on_regained(self.shared.now());
     }
 
     /// Applies everything that was read at once.
     pub fn on_snapshot(&self, snapshot: &Snapshot, source: Source) {
-        self.held.replace(snapshot);
+        self.cache.replace(snapshot);
         let now = self.shared.now();
         let mut upstreams = Vec::new();
         let mut routers = Vec::new();
@@ -122,7 +122,7 @@
     /// Applies changes in order.
     pub fn on_changes(&self, changes: &[ItemChange], source: Source) {
         for change in changes {
-            if !self.held.apply(change) {
+            if !self.cache.apply(change) {
                 continue;
             }
             match change {
@@ -138,7 +138,7 @@
             return;
         }
         let changes = self.registry().expire(self.shared.now());
-        self.on_upstreams(&changes, self.held.revision(), Source::Store);
+        self.on_upstreams(&changes, self.cache.revision(), Source::Store);
     }
 
     fn on_written(&self, item: &Item, source: Source) {
--- a/teaselworks/src/daemon/serve.rs
+++ b/teaselworks/src/daemon/serve.rs
@@ -9,9 +9,9 @@
 use tokio::net::TcpListener;
 
 use super::page::{self, Page};
-use super::services::{HELD, LEARNER, METRICS, SHARED, register, seed};
+use super::services::{CACHE, LEARNER, METRICS, SHARED, register, seed};
 use super::{StartError, reload, stop};
-use crate::beliefs::{Bridge, Follower, Learner, Registrar};
+use crate::beliefs::{Follower, Learner, PeerFallback, Registrar};
 use crate::event;
 use crate::kernel::{Registry, Shutdown, ShutdownPhase};
 use crate::net;
@@ -21,7 +21,7 @@
 use crate::settings::Settings;
 
 /// Time between looks for what has become too old: idle connections to upstreams, and upstreams
-/// that were missing for so long that they count as gone. A quarter of the shortest bound for news.
+/// that were missing for so long that they count as gone.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
 struct Ports {
@@ -78,19 +78,21 @@
 ) -> Result<impl Fn() -> usize + use<>, StartError> {
     let shared = registry.find(&SHARED)?;
     let metrics = registry.find(&METRICS)?;
-    let held = registry.find(&HELD)?;
+    let cache = registry.find(&CACHE)?;
     let learner = registry.find(&LEARNER)?;
     let store = || Store::new(settings.platform.address);
 
-    let bridge = Bridge::new(shared.clone(), seed());
+    let fallback = PeerFallback::new(shared.clone(), seed());
     let news_age = settings.bounds.news_age();
-    tokio::spawn(Follower::new(store(), learner.clone(), bridge, metrics.clone(), news_age).run());
+    tokio::spawn(
+        Follower::new(store(), learner.clone(), fallback, metrics.clone(), news_age).run(),
+    );
     let peers = settings.listen.peers.unwrap_or(settings.listen.callers);
     let shortest_lease = Duration::from_millis(settings.platform.shortest_lease_ms);
     let name = &settings.router.name;
     tokio::spawn(Registrar::new(store(), name, peers, shortest_lease, shutdown.clone()).run());
     if let Some(listener) = ports.peers {
-        tokio::spawn(peers::serve(listener, held));
+        tokio::spawn(peers::serve(listener, cache));
     }
     tokio::spawn(sweep(shared.clone(), learner));
     tokio::spawn(page::serve(ports.metrics, move || Page {
--- a/teaselworks/src/daemon/services.rs
+++ b/teaselworks/src/daemon/services.rs
@@ -8,7 +8,7 @@
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::retry::BudgetSettings;
 
-use crate::beliefs::{Held, Learner};
+use crate::beliefs::{Learner, StoreCache};
 use crate::kernel::{Registry, ServiceError, ServiceName, Shutdown};
 use crate::metrics::Metrics;
 use crate::relay::Shared;
@@ -19,7 +19,7 @@
 /// Counters and histograms.
 pub(super) const METRICS: ServiceName<Metrics> = ServiceName::new("metrics");
 /// Items of the store, for other routers.
-pub(super) const HELD: ServiceName<Held> = ServiceName::new("held");
+pub(super) const CACHE: ServiceName<StoreCache> = ServiceName::new("cache");
 /// What turns news into beliefs.
 pub(super) const LEARNER: ServiceName<Learner> = ServiceName::new("learner");
 
@@ -33,11 +33,11 @@
     let fleet = Fleet::new(fleet_settings(&settings.bounds), membership, seed());
     let zone = settings.router.zone.clone();
     let shared = Arc::new(Shared::new(clock, metrics.clone(), shutdown.clone(), zone, fleet));
-    let held = Arc::new(Held::default());
-    let learner = Arc::new(Learner::new(shared.clone(), held.clone()));
+    let cache = Arc::new(StoreCache::default());
+    let learner = Arc::new(Learner::new(shared.clone(), cache.clone()));
     registry.register(&METRICS, metrics)?;
     registry.register(&SHARED, shared)?;
-    registry.register(&HELD, held)?;
+    registry.register(&CACHE, cache)?;
     registry.register(&LEARNER, learner)?;
     Ok(registry)
 }
--- a/teaselworks/src/event/appender.rs
+++ b/teaselworks/src/event/appender.rs
@@ -9,7 +9,7 @@
 use logforth::record::Record;
 use logforth::{Append, Diagnostic, Error, Layout};
 
-/// Lines that wait for their reader; at 300 bytes a line they take about a megabyte.
+/// Lines that wait for their reader; bounds the memory they take.
 const QUEUE_LINES: usize = 4_096;
 /// Time for which lines are collected, so that a busy router writes tens of times a second and not
 /// once for each line.
@@ -22,8 +22,7 @@
 
 /// Appender that drops lines rather than wait.
 ///
-/// What goes wrong with one that waits: a reader of standard output that stands still fills the
-/// pipe, and the next log line stops every request of the router.
+/// A reader of standard output that stands still must not stop requests.
 #[derive(Debug)]
 pub(super) struct QueueAppender {
     layout: Box<dyn Layout>,
--- a/teaselworks/src/net.rs
+++ b/teaselworks/src/net.rs
@@ -9,8 +9,8 @@
 
 use crate::event;
 
-/// Longest time to open a connection. A way within a region takes milliseconds; a first packet that
-/// is lost is sent again after a second, and another upstream is reached sooner than that.
+/// Longest time to open a connection; less than the time after which the first packet is sent again,
+/// as another upstream is reached sooner.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest time for which sent bytes may stay unacknowledged: two losses in a row are borne.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -34,8 +34,7 @@
 
 /// Makes a connection end when its peer neither acknowledges nor answers probes.
 ///
-/// What goes wrong without it: a VM that lost power or is cut off sends no reset; a request that is
-/// written to such a connection waits until its deadline, and its caller is told nothing.
+/// A VM that lost power or is cut off sends no reset.
 pub fn watch_peer(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/teaselworks/src/peers/server.rs
+++ b/teaselworks/src/peers/server.rs
@@ -10,7 +10,7 @@
 
 use super::message::{decode, encode};
 use super::{Answer, PeerError, Question};
-use crate::beliefs::Held;
+use crate::beliefs::StoreCache;
 use crate::net;
 
 /// Longest silence of a router that asks; those that follow the news ask each second.
@@ -19,27 +19,27 @@
 const WAIT_MAX: Duration = Duration::from_secs(10);
 
 /// Answers routers until the process ends.
-pub async fn serve(listener: TcpListener, held: Arc<Held>) {
+pub async fn serve(listener: TcpListener, cache: Arc<StoreCache>) {
     loop {
         let stream = net::accept(&listener).await;
-        let held = held.clone();
+        let cache = cache.clone();
         tokio::spawn(async move {
             // The one that asked logs what went wrong.
-            let _ = answer(stream, &held).await;
+            let _ = answer(stream, &cache).await;
         });
     }
 }
 
-async fn answer(stream: TcpStream, held: &Held) -> Result<(), PeerError> {
+async fn answer(stream: TcpStream, cache: &StoreCache) -> Result<(), PeerError> {
     let mut socket = accept_async(stream).await.map_err(|_| PeerError::Broken)?;
     loop {
         let message = tokio::time::timeout(SILENCE_TIMEOUT, socket.next()).await;
         let Some(message) = message.map_err(|_| PeerError::Timeout)? else { return Ok(()) };
         let Message::Binary(bytes) = message.map_err(|_| PeerError::Broken)? else { continue };
         let Question { known_revision, wait, largest_bytes } = decode(&bytes)?;
-        held.wait(known_revision, wait.min(WAIT_MAX)).await;
-        let news = held.news_after(known_revision, largest_bytes);
-        let answer = encode(&Answer { reads_store: held.is_current(), news })?;
+        cache.wait(known_revision, wait.min(WAIT_MAX)).await;
+        let news = cache.news_after(known_revision, largest_bytes);
+        let answer = encode(&Answer { reads_store: cache.is_current(), news })?;
         socket.send(Message::Binary(answer)).await.map_err(|_| PeerError::Broken)?;
     }
 }
--- a/teaselworks/src/platform/store.rs
+++ b/teaselworks/src/platform/store.rs
@@ -19,8 +19,8 @@
 use super::{Item, StoreError};
 use crate::net;
 
-/// Longest wait for an answer to a call. The store answers within milliseconds; when it is slow it
-/// takes a few hundred, and a call given up would only be made again.
+/// Longest wait for an answer to a call; one that is given up is only made again, so a slow store is
+/// waited for.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time beyond the agreed wait after which a watch counts as dead.
 const WATCH_SLACK: Duration = Duration::from_millis(500);
--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -125,10 +125,8 @@
     }
 }
 
-/// Checks that an answer is one to the request, and that it was run.
-///
-/// What goes wrong without it: an upstream sends a second answer on a kept connection, and the next
-/// caller gets what belongs to another.
+/// Checks that an answer is one to the request, and that it was run; an upstream may send a second
+/// answer on a kept connection.
 fn check(facts: &AnswerFacts, status: StatusCode, request_id: &str) -> Result<(), Failure> {
     let is_foreign = match &facts.id {
         Some(id) => **id != *request_id,
--- a/teaselworks/src/relay/caller.rs
+++ b/teaselworks/src/relay/caller.rs
@@ -83,8 +83,7 @@
 impl CallerPort {
     /// Makes the port of a process that may have so many descriptors.
     ///
-    /// What goes wrong without a limit: callers' connections take every descriptor, and none is left
-    /// to reach an upstream.
+    /// Callers' connections leave descriptors for those to upstreams.
     pub fn new(shared: Arc<Shared>, file_descriptors: u32) -> Self {
         let most = f64::from(file_descriptors) * CALLERS_SHARE;
         Self { shared, open: OpenConnections::default(), most: most as usize }
--- a/teaselworks/src/relay/connections.rs
+++ b/teaselworks/src/relay/connections.rs
@@ -19,8 +19,7 @@
 /// Time before the end of an upstream's stated timeout from which a connection is not used any
 /// more: the request would cross the close on its way and might have run.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
-/// Idle connections kept to one upstream: a few routers share what it accepts, and a burst needs
-/// few, as each is used again within milliseconds.
+/// Idle connections kept to one upstream, whose limit all routers share.
 const IDLE_MAX: usize = 32;
 
 /// One connection to an upstream, which carries one request at a time.
--- a/teaselworks/src/relay/events.rs
+++ b/teaselworks/src/relay/events.rs
@@ -3,14 +3,12 @@
 use bytes::{Bytes, BytesMut};
 use memchr::memmem;
 
-/// Largest part of an event that is held until its end arrives; an event of an engine has some
-/// hundred bytes.
+/// Largest part of an event that is held until its end arrives.
 const EVENT_SIZE_MAX_BYTES: usize = 1 << 20;
 
 /// Holds back the part of an event whose end has not arrived.
 ///
-/// What goes wrong without it: an engine breaks off in the middle of an event, and what another one
-/// sends after the last whole event is joined to half of the next.
+/// Another engine that goes on after the last whole event sends the broken one again.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     held: BytesMut,
--- a/teaselworks/src/relay/ticket.rs
+++ b/teaselworks/src/relay/in_flight.rs
@@ -10,7 +10,7 @@
 use crate::event;
 
 /// A request that is counted at an upstream until this value is dropped.
-pub(super) struct Ticket {
+pub(super) struct InFlight {
     shared: Arc<Shared>,
     service: Arc<str>,
     incarnation: Incarnation,
@@ -18,7 +18,7 @@
     symptom: Option<Symptom>,
 }
 
-impl Ticket {
+impl InFlight {
     /// Takes over the count that placing made.
     pub(super) fn new(shared: Arc<Shared>, service: Arc<str>, placement: &Placement) -> Self {
         let began = shared.now();
@@ -43,7 +43,7 @@
     }
 }
 
-impl Drop for Ticket {
+impl Drop for InFlight {
     fn drop(&mut self) {
         let now = self.shared.now();
         let held = now.saturating_sub(self.began);
--- a/teaselworks/src/relay/mod.rs
+++ b/teaselworks/src/relay/mod.rs
@@ -5,13 +5,14 @@
 mod caller;
 mod connections;
 mod events;
+mod in_flight;
 mod io;
 mod outcome;
 mod request;
 mod serve;
+mod serving;
 mod shared;
 mod stream;
-mod ticket;
 
 pub use self::caller::{CallerPort, OpenConnections};
 pub use self::connections::Connections;
--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -18,8 +18,7 @@
 use super::body::{self, BodyError, Outgoing};
 use crate::platform::headers::{self, RequestFacts};
 
-/// Largest body that is read before the request is sent on, so that it can be sent again. A
-/// hundred such requests at once take a tenth of the smallest VM's memory.
+/// Largest body that is read before the request is sent on, so that it can be sent again.
 const HELD_BODY_SIZE_BYTES: usize = 128 << 10;
 
 /// A request that may be served.
--- /dev/null
+++ b/teaselworks/src/relay/serving.rs
@@ -0,0 +1,183 @@
+//! The state of one request over its attempts, and the decisions that it asks for.
+
+use std::sync::Arc;
+
+use teaselworks_policy::configuration::Configuration;
+use teaselworks_policy::placement::{Demand, Placement};
+use teaselworks_policy::retry::{Attempts, Failure, Next, RetryReason, decide};
+use teaselworks_policy::upstream::Symptom;
+use teaselworks_policy::verdict::{Refusal, RefusalReason, Verdict};
+
+use super::Shared;
+use super::in_flight::InFlight;
+use super::request::{Prepared, RequestBody};
+use crate::event;
+
+/// A request that is being served.
+pub(super) struct Serving {
+    pub(super) shared: Arc<Shared>,
+    pub(super) prepared: Prepared,
+    pub(super) configuration: Arc<Configuration>,
+    pub(super) body: RequestBody,
+    tried: Vec<Arc<str>>,
+    runs: u32,
+}
+
+impl Serving {
+    pub(super) fn new(
+        shared: Arc<Shared>,
+        prepared: Prepared,
+        configuration: Arc<Configuration>,
+        body: RequestBody,
+    ) -> Self {
+        Self { shared, prepared, configuration, body, tried: Vec::new(), runs: 0 }
+    }
+
+    /// Returns the number of upstreams that the request was sent to.
+    pub(super) fn attempts(&self) -> u32 {
+        u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Chooses an upstream.
+    pub(super) fn place(&mut self, resumed_after: Option<&str>) -> Result<Placement, Refusal> {
+        let now = self.shared.now();
+        let deadline = &self.prepared.deadline;
+        let demand = Demand {
+            prompt: self.prepared.facts.prompt.as_ref().filter(|_| self.prepared.route.has_prompts),
+            zone: &self.shared.zone,
+            tried: &self.tried,
+            remaining: deadline.remaining(now),
+            latest_return: deadline.latest_return(now),
+        };
+        let mut placement = self.shared.fleet().place(now, &self.prepared.service, &demand)?;
+        placement.holder = placement.holder.filter(|_| self.copies_prompts());
+        let report_age = placement.report_age.map_or(-1, |age| age.as_millis() as i64);
+        event::REQUEST_PLACED.log(&[
+            event::text("request", &self.prepared.facts.id),
+            event::text("service", &self.prepared.service),
+            event::text("upstream", &placement.upstream.id),
+            event::text("reason", &placement.reason.as_str()),
+            event::text("load", &format_args!("{:.1}", placement.load)),
+            event::text("bound", &format_args!("{:.1}", placement.bound)),
+            event::text("report_age_ms", &report_age),
+            event::text(
+                "holder",
+                &placement.holder.map(|address| address.to_string()).as_deref().unwrap_or(""),
+            ),
+            event::number("attempt", u64::from(self.attempts()) + 1),
+            event::number("configuration", self.configuration.version),
+            event::number("remaining_ms", deadline.remaining(now).as_millis() as u64),
+            event::text("after_event", &resumed_after.unwrap_or("")),
+        ]);
+        self.tried.push(placement.upstream.id.clone());
+        Ok(placement)
+    }
+
+    /// Tells whether the engines of the service can copy prompts from each other.
+    fn copies_prompts(&self) -> bool {
+        let service = self.configuration.services.get(&self.prepared.service);
+        service.is_some_and(|service| service.copies_prompts)
+    }
+
+    /// Takes over the count of a placement.
+    pub(super) fn in_flight(&self, placement: &Placement) -> InFlight {
+        InFlight::new(self.shared.clone(), self.prepared.service.clone(), placement)
+    }
+
+    /// Decides what follows a failed attempt, or a stream that broke off; a refusal where nothing
+    /// does.
+    pub(super) fn next(&mut self, failure: Failure, is_begun: bool) -> Result<(), Refusal> {
+        if failure.verdict() == Verdict::MayHaveRun {
+            self.runs += 1;
+        }
+        let now = self.shared.now();
+        // A body that was sent on while it arrived is gone: no other upstream can be offered it.
+        let offers = if self.body.is_held() { self.attempts() } else { u32::MAX };
+        let attempts = Attempts {
+            may_repeat: self.prepared.route.may_repeat(),
+            offers,
+            runs: self.runs,
+            max_runs: self.prepared.route.max_attempts,
+            remaining: self.prepared.deadline.remaining(now),
+        };
+        let latest = self.prepared.deadline.latest_return(now);
+        let service = &self.prepared.service;
+        let mut fleet = self.shared.fleet();
+        let retry_after = fleet.return_after(service, latest);
+        let (reason, is_repeat) = match decide(failure, &attempts, Some(retry_after)) {
+            Next::Retry { is_repeat, .. } if is_begun => (RetryReason::Resumed, is_repeat),
+            Next::Retry { reason, is_repeat } => (reason, is_repeat),
+            Next::GiveUp(refusal) => {
+                drop(fleet);
+                self.log_failure(failure, &refusal);
+                return Err(refusal);
+            }
+        };
+        let is_paid = failure == Failure::Silent;
+        if is_repeat && !is_paid && !fleet.try_repeat(now, service) {
+            drop(fleet);
+            let refusal = Refusal::not_run(RefusalReason::RetryBudget, Some(retry_after));
+            self.log_failure(failure, &refusal);
+            return Err(self.honest(refusal));
+        }
+        drop(fleet);
+        self.shared.metrics.add_retry(reason);
+        event::ATTEMPT_RETRIED.log(&[
+            event::text("request", &self.prepared.facts.id),
+            event::text("reason", &reason.as_str()),
+            event::number("attempt", self.attempts().into()),
+            event::text("upstream", &self.tried.last().map_or("", |id| id)),
+        ]);
+        Ok(())
+    }
+
+    /// Tells whether a silent attempt is given up for another one, and takes that from the retry
+    /// budget. Silence alone is no reason to end a request.
+    pub(super) fn takes_repeat(&self) -> bool {
+        let route = &self.prepared.route;
+        let now = self.shared.now();
+        let remaining = self.prepared.deadline.remaining(now);
+        let has_run_left = self.runs + 1 < route.max_attempts;
+        route.may_repeat()
+            && self.body.is_held()
+            && has_run_left
+            && remaining > route.target_latency
+            && self.shared.fleet().try_repeat(now, &self.prepared.service)
+    }
+
+    /// Logs a failed attempt that no other follows.
+    fn log_failure(&self, failure: Failure, refusal: &Refusal) {
+        event::ATTEMPT_FAILED.log(&[
+            event::text("request", &self.prepared.facts.id),
+            event::text("upstream", &self.tried.last().map_or("", |id| id)),
+            event::text("failure", &RetryReason::from(failure).as_str()),
+            event::text("verdict", &failure.verdict()),
+            event::text("reason", &refusal.reason),
+            event::number("attempt", self.attempts().into()),
+            event::number("max_runs", self.prepared.route.max_attempts.into()),
+        ]);
+    }
+
+    /// Turns a refusal into one that does not promise what an earlier attempt may have broken.
+    pub(super) fn honest(&self, refusal: Refusal) -> Refusal {
+        if self.runs == 0 || refusal.verdict == Verdict::MayHaveRun {
+            return refusal;
+        }
+        Refusal::may_have_run(RefusalReason::UpstreamFailed)
+    }
+}
+
+/// Returns what a failure says of the upstream.
+pub(super) fn symptom(failure: Failure) -> Symptom {
+    match failure {
+        // A replica that is full and one that is ill turn requests away alike; against its peers the
+        // ill one does so more often.
+        Failure::Rejected | Failure::Failed => Symptom::Failed,
+        Failure::Unreachable
+        | Failure::NotSent
+        | Failure::Moved
+        | Failure::Broken
+        | Failure::Silent
+        | Failure::Foreign => Symptom::Broken,
+    }
+}
--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -17,9 +17,9 @@
 use super::attempt::{Answer, Attempt};
 use super::body::{BodyError, Outgoing};
 use super::connections::Connection;
+use super::in_flight::InFlight;
 use super::outcome::Progress;
-use super::serve::Serving;
-use super::ticket::Ticket;
+use super::serving::{Serving, symptom};
 
 /// Media type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -37,14 +37,14 @@
     body: Incoming,
     connection: Connection,
     closes: bool,
-    ticket: Ticket,
+    in_flight: InFlight,
 }
 
 impl Streaming {
     /// Takes an answer of which `first` was read already.
-    pub(super) fn new(answer: Answer, ticket: Ticket, first: Bytes) -> Self {
+    pub(super) fn new(answer: Answer, in_flight: InFlight, first: Bytes) -> Self {
         let Answer { status, headers, facts, body, connection } = answer;
-        let source = Source { body, connection, closes: facts.closes, ticket };
+        let source = Source { body, connection, closes: facts.closes, in_flight };
         Self { status, headers, source, first }
     }
 
@@ -63,7 +63,7 @@
     let splitter = streaming.has_events().then(EventSplitter::default);
     let remaining = serving.prepared.deadline.remaining(serving.shared.now());
     let Streaming { status, headers, source, first } = streaming;
-    let passage = Passage {
+    let relay = StreamRelay {
         first: Some(first).filter(|first| !first.is_empty()),
         status,
         source: Some(source),
@@ -74,16 +74,16 @@
         serving,
         progress,
     };
-    let frames = stream::unfold(Some(passage), |passage| async move {
-        let mut passage = passage?;
-        match passage.next().await {
-            Ok(Some(data)) => Some((Ok(Frame::data(data)), Some(passage))),
+    let frames = stream::unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.next().await {
+            Ok(Some(data)) => Some((Ok(Frame::data(data)), Some(relay))),
             Ok(None) => {
-                passage.finish();
+                relay.finish();
                 None
             }
             Err(error) => {
-                passage.break_off(error);
+                relay.break_off(error);
                 Some((Err(error), None))
             }
         }
@@ -95,7 +95,7 @@
 }
 
 /// An answer on its way.
-struct Passage {
+struct StreamRelay {
     first: Option<Bytes>,
     status: StatusCode,
     source: Option<Source>,
@@ -111,7 +111,7 @@
     progress: Progress,
 }
 
-impl Passage {
+impl StreamRelay {
     /// Returns what is to be sent next, or the end of the answer.
     async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
         loop {
@@ -188,7 +188,7 @@
     async fn resume(&mut self, mut failure: Failure) -> Result<(), BodyError> {
         // The connection is closed before another upstream goes on with the work.
         if let Some(mut source) = self.source.take() {
-            source.ticket.observe(Symptom::Broken);
+            source.in_flight.observe(Symptom::Broken);
         }
         let Some(splitter) = &mut self.splitter else { return Err(BodyError::Broken) };
         splitter.drop_part();
@@ -197,7 +197,7 @@
             self.serving.next(failure, true).map_err(|_| BodyError::Broken)?;
             let after = last_id.as_deref();
             let placement = self.serving.place(after).map_err(|_| BodyError::Broken)?;
-            let mut ticket = self.serving.ticket(&placement);
+            let mut in_flight = self.serving.in_flight(&placement);
             let (body, size_bytes) = self.serving.body.for_attempt().ok_or(BodyError::Broken)?;
             let mut attempt = Attempt {
                 shared: &self.serving.shared,
@@ -210,21 +210,21 @@
             let answer = match attempt.run(body, size_bytes).await {
                 Ok(answer) if answer.status == self.status => answer,
                 Ok(_) => {
-                    ticket.observe(Symptom::Failed);
+                    in_flight.observe(Symptom::Failed);
                     failure = Failure::Failed;
                     continue;
                 }
                 Err(attempt_failure) => {
-                    ticket.observe(super::serve::symptom(attempt_failure));
+                    in_flight.observe(symptom(attempt_failure));
                     failure = attempt_failure;
                     continue;
                 }
             };
             if let Some(load) = answer.facts.load {
-                ticket.report(load);
+                in_flight.report(load);
             }
             let Answer { facts, body, connection, .. } = answer;
-            self.source = Some(Source { body, connection, closes: facts.closes, ticket });
+            self.source = Some(Source { body, connection, closes: facts.closes, in_flight });
             return Ok(());
         }
     }
@@ -232,11 +232,11 @@
     /// Ends an answer that is whole, and keeps its connection.
     fn finish(self) {
         let Self { source, serving, progress, status, .. } = self;
-        let Some(Source { mut ticket, connection, closes, body }) = source else { return };
+        let Some(Source { mut in_flight, connection, closes, body }) = source else { return };
         drop(body);
-        ticket.observe(Symptom::Answered);
+        in_flight.observe(Symptom::Answered);
         let attempts = serving.attempts();
-        progress.answered(status.as_u16(), ticket.upstream(), attempts);
+        progress.answered(status.as_u16(), in_flight.upstream(), attempts);
         if !closes {
             let now = serving.shared.now();
             serving.shared.connections.give_back(now, connection);
@@ -246,9 +246,9 @@
     /// Ends an answer that is not whole; its caller sees a broken connection.
     fn break_off(self, cause: BodyError) {
         let Self { source, serving, progress, .. } = self;
-        let upstream = source.as_ref().map(|source| source.ticket.upstream().clone());
+        let upstream = source.as_ref().map(|source| source.in_flight.upstream().clone());
         if let Some(mut source) = source.filter(|_| cause != BodyError::Deadline) {
-            source.ticket.observe(Symptom::Broken);
+            source.in_flight.observe(Symptom::Broken);
         }
         progress.broken(cause, upstream.as_deref().unwrap_or(""), serving.attempts());
     }
--- a/teaselworks/src/settings/load.rs
+++ b/teaselworks/src/settings/load.rs
@@ -43,6 +43,9 @@
     /// assert_eq!(unknown.line, 2);
     /// ```
     pub fn parse(file: &str, text: &str) -> Result<Self, Faults> {
+        if let Some(fault) = unfilled(file, text) {
+            return Err(fault.into());
+        }
         let document = Document::parse(file, text)?;
         let reading = typed::read::<Settings>(document.value(), &template());
         let mut findings = reading.findings;
@@ -61,6 +64,23 @@
     }
 }
 
+/// Returns the fault of a template whose placeholders nobody has filled in.
+fn unfilled(file: &str, text: &str) -> Option<Fault> {
+    let start = text.find("{{")?;
+    let placeholder = &text[start..start + text[start..].find("}}")? + 2];
+    let before = &text[..start];
+    let line_start = before.rfind('\n').map_or(0, |end| end + 1);
+    Some(Fault {
+        file: file.to_owned(),
+        line: before.matches('\n').count() + 1,
+        column: before[line_start..].chars().count() + 1,
+        field: String::new(),
+        problem: format!(
+            "the file is a template that was not filled in: placeholder `{placeholder}`"
+        ),
+    })
+}
+
 /// Returns valid values of every required field, to put in place of those at fault.
 fn template() -> Value {
     json!({
--- a/teaselworks/tests/answers.rs
+++ b/teaselworks/tests/answers.rs
@@ -35,9 +35,7 @@
     call(fleet.routers[0].callers(), &sent).await.unwrap()
 }
 
-/// Symptom: a record is written twice, or a caller repeats what has run. Sequence: a replica runs a
-/// request and breaks off in one of many ways. Cause: what may have run is sent again, or refused
-/// with a status that says it has not run.
+/// Guards against a second run, and a refusal that promises none, after a replica broke off.
 #[tokio::test]
 async fn what_may_have_run_runs_once_and_is_not_called_refused() {
     let fleet = fleet(1).await;
@@ -89,8 +87,7 @@
     assert_eq!(runs(&fleet, "f1"), 1);
 }
 
-/// Symptom: a lookup fails though another replica would have answered it. Sequence: one replica
-/// fails, breaks off or answers something else.
+/// Guards against a lookup that fails with one replica though another one would answer it.
 #[tokio::test]
 async fn idempotent_requests_are_answered_by_another_replica() {
     let failures: Vec<Behaviour> = vec![
@@ -136,9 +133,7 @@
     assert_eq!(runs(&fleet, "n"), 0);
 }
 
-/// Symptom: a caller whose request has not run is told that it may have. Sequence: a body that is too
-/// long to be held is sent on while it arrives; the replica turns it away. Cause: that it cannot be
-/// sent again is taken for a failure after it ran.
+/// Guards against a 502 for a long body that was turned away unexecuted.
 #[tokio::test]
 async fn a_long_request_that_was_turned_away_is_refused_as_not_run() {
     let fleet = fleet(1).await;
@@ -161,8 +156,7 @@
     fleet.routers[0].logged("upstream_ejected", 1).await.unwrap();
 }
 
-/// Symptom: the next caller gets the answer to another request. Sequence: a replica sends a second
-/// answer on a kept connection, at once or when the next answer is due.
+/// Guards against a second answer on a kept connection that reaches the next caller.
 #[tokio::test]
 async fn extra_answers_reach_nobody() {
     let fleet = fleet(1).await;
@@ -187,9 +181,7 @@
     }
 }
 
-/// Symptom: a caller takes half an answer for a whole one. Sequence: a replica answers without a
-/// length and its connection is reset. Cause: the end of the connection is taken for that of the
-/// answer, however it came.
+/// Guards against an answer without a length that is reset and looks whole.
 #[tokio::test]
 async fn answers_that_end_with_their_connection_are_whole_only_if_it_ends_well() {
     let fleet = fleet(1).await;
@@ -209,8 +201,7 @@
     assert_eq!(reply.status(), 502);
 }
 
-/// Symptom: a replica finds bytes of one request where another should begin. Sequence: it answers
-/// before it has read a long body and keeps the connection.
+/// Guards against the rest of a body that is read as the next request.
 #[tokio::test]
 async fn an_early_answer_leaves_no_half_sent_body_behind() {
     let fleet = fleet(1).await;
@@ -238,8 +229,7 @@
     assert!(connection.head().await.unwrap().is_some());
 }
 
-/// Symptom: a chat ends in the middle as if it were whole. Sequence: an engine breaks off, between
-/// events or inside one, on a route whose streams cannot be resumed.
+/// Guards against a stream that breaks off, between events or inside one, and looks whole.
 #[tokio::test]
 async fn a_stream_that_breaks_off_looks_broken() {
     let fleet = fleet(1).await;
@@ -265,8 +255,7 @@
     }
 }
 
-/// Symptom: a gloss that may be resumed breaks off, or holds pieces twice. Sequence: an engine breaks
-/// off, between events, inside one, or before the first.
+/// Guards against pieces that are missing or come twice when a stream is resumed.
 #[tokio::test]
 async fn a_resumable_stream_goes_on_at_another_engine() {
     let fleet = fleet(1).await;
@@ -297,8 +286,7 @@
     fleet.routers[0].logged("attempt_retried", 4).await.unwrap();
 }
 
-/// Symptom: a lookup, or a gloss that may be resumed, waits for its deadline. Sequence: a replica
-/// goes silent, before its answer or in the middle of it. Cause: only an end is taken for a failure.
+/// Guards against waiting for a silent replica until the deadline, where another may be asked.
 #[tokio::test]
 async fn what_may_repeat_leaves_a_silent_replica() {
     let mut plan = Plan::default();
@@ -324,8 +312,7 @@
     assert!(refused.is_empty(), "{refused:?}");
 }
 
-/// Symptom: a caller waits for an answer that cannot come any more, or is told that its request has
-/// not run. Sequence: a replica is silent until the request's time has passed.
+/// Guards against a caller that waits beyond its time, or is told that nothing ran.
 #[tokio::test]
 async fn a_request_whose_time_passes_is_answered_then() {
     let mut plan = Plan::default();
@@ -339,8 +326,7 @@
     assert!(elapsed >= 300, "{elapsed}");
 }
 
-/// Symptom: replicas that turn everything away get many times the requests of callers.
-/// Sequence: all replicas are full. Cause: each request is offered to every one.
+/// Guards against repeats that multiply the load of replicas that turn everything away.
 #[tokio::test]
 async fn repeats_stay_within_the_budget() {
     let bounds = json!({ "retry_ratio": 0.1, "retry_slack": 10.0 });
@@ -357,8 +343,7 @@
     assert!(refused.iter().any(|line| line["reason"] == "retry_budget"));
 }
 
-/// Symptom: a request runs at a replica of another service. Sequence: a replica is gone, its address
-/// belongs to another one. Cause: an address is taken for the replica.
+/// Guards against a run at a replica of another service that has the address now.
 #[tokio::test]
 async fn an_address_that_was_given_away_runs_nothing() {
     let fleet = fleet(1).await;
--- a/teaselworks/tests/news.rs
+++ b/teaselworks/tests/news.rs
@@ -47,8 +47,7 @@
     }
 }
 
-/// Symptom: callers meet routes that were taken away already. Sequence: an older version is written
-/// after a newer one was in force. Cause: the last one read wins.
+/// Guards against an older configuration that takes the place of a newer one.
 #[tokio::test]
 async fn an_older_configuration_is_ignored() {
     let mut fleet = fleet(1).await;
@@ -145,7 +144,7 @@
     answers(&reader, "/new/a", 200).await;
 }
 
-/// Symptom: requests fail while the store is away. Sequence: it is silent, refuses, comes back.
+/// Guards against requests that fail while the store is silent or refuses.
 #[tokio::test]
 async fn requests_are_served_while_the_store_is_away() {
     let mut fleet = fleet(1).await;
@@ -163,9 +162,7 @@
     answers(&fleet.routers[0], "/new/a", 200).await;
 }
 
-/// Symptom: a key that was taken away is accepted at one router for as long as the store turns it
-/// away. Sequence: the store serves the others, and a configuration is written.
-/// Cause: a router learns from the store alone.
+/// Guards against a revoked key that stays valid at a router that the store turns away.
 #[tokio::test]
 async fn a_router_that_the_store_turns_away_learns_from_another() {
     let mut fleet = fleet(2).await;
@@ -183,7 +180,7 @@
     assert!(!router.logged("peer_answered", 1).await.unwrap().is_empty());
 }
 
-/// Symptom: a router that starts while the store turns it away serves nothing.
+/// Guards against a router that serves nothing, since the store turned it away at its start.
 #[tokio::test]
 async fn a_router_that_starts_without_the_store_learns_from_a_seed() {
     let fleet = fleet(1).await;
@@ -208,8 +205,7 @@
     assert!(!router.is_ready().await);
 }
 
-/// Symptom: a change is never seen. Sequence: the store forgets its history while a router does not
-/// hear it; a replica drains and a route is added in the gap.
+/// Guards against changes that are never seen, since the store forgot its history.
 #[tokio::test]
 async fn changes_in_forgotten_history_are_read_again() {
     let mut fleet = fleet(1).await;
@@ -250,7 +246,7 @@
     assert!(!added.seen().is_empty());
 }
 
-/// Symptom: routers have no replica for seconds after an outage in which the entries lapsed.
+/// Guards against a router without replicas for seconds, since entries lapsed in an outage.
 #[tokio::test]
 async fn entries_that_lapsed_in_an_outage_are_used_until_they_are_back() {
     let fleet = fleet(1).await;
@@ -269,9 +265,7 @@
     assert_eq!(status(&fleet.routers[0], "/read/a", "after").await, 200);
 }
 
-/// Symptom: a replica gets requests for seconds after it has left. Sequence: one router is cut off
-/// from the store for a while and learns from others; just after the cut ends, a replica leaves and
-/// its entry is removed. Cause: the router takes its own cut for an outage in which entries lapse.
+/// Guards against a grace for removed entries after a cut of one router alone.
 #[tokio::test]
 async fn a_cut_of_one_router_gives_no_grace_to_entries_that_are_removed() {
     let fleet = fleet(1).await;
--- a/teaselworks/tests/platform.rs
+++ b/teaselworks/tests/platform.rs
@@ -54,8 +54,7 @@
     assert!(!configuration.services["b"].copies_prompts);
 }
 
-/// Symptom: what must run once runs twice. Sequence: a later platform has a kind of route that this
-/// router does not know. Cause: an unknown kind is taken for the most lenient one.
+/// Guards against a second run on a route of a kind that this router does not know.
 #[test]
 fn an_unknown_kind_is_carried_at_most_once() {
     let configuration = configuration(&json!({
@@ -184,7 +183,7 @@
         let _ = decode(&item("op/config", configuration.to_string().as_bytes()));
     }
 
-    /// Symptom: a router ends on a value that somebody wrote.
+    /// Guards against a router that ends on a value that somebody wrote.
     #[test]
     fn no_value_ends_the_router(
         key in prop::sample::select(vec!["op/config", "servers/i-1", "routers/a", "else"]),
--- a/teaselworks/tests/readers.rs
+++ b/teaselworks/tests/readers.rs
@@ -29,8 +29,7 @@
     }
 }
 
-/// Symptom: news stop at most routers of a large fleet. Sequence: the routers that read the store for
-/// the others are killed. Cause: nobody but them reads it.
+/// Guards against news that stop when the routers that read for others are killed.
 #[tokio::test]
 async fn news_reach_every_router_also_when_readers_are_killed() {
     let mut fleet = fleet(ROUTERS).await;
@@ -51,9 +50,7 @@
     add_route(&mut fleet, "/two/").await;
 }
 
-/// Symptom: a large configuration is in force seconds late at most routers of a large fleet.
-/// Sequence: it grows by many routes. Cause: the few routers that read send it to all others over
-/// their own links.
+/// Guards against a large configuration that a few routers pass on over their own links.
 #[tokio::test]
 async fn a_large_configuration_is_read_from_the_store_by_each_router() {
     let mut fleet = fleet(ROUTERS).await;
--- a/teaselworks/tests/requests.rs
+++ b/teaselworks/tests/requests.rs
@@ -95,9 +95,7 @@
     assert_eq!(call(address, &request("GET", "/read/a", "after")).await.unwrap().status(), 200);
 }
 
-/// Symptom: a replica runs a request that no caller sent. Sequence: a caller states two lengths, or
-/// a length beside chunks, and hides a second request in the body. Cause: router and replica find
-/// the end of the body at different places.
+/// Guards against a request hidden in the body of another by conflicting lengths.
 #[tokio::test]
 async fn conflicting_lengths_smuggle_no_request() {
     let fleet = fleet(1).await;
@@ -138,8 +136,7 @@
     }
 }
 
-/// Symptom: descriptors run out. Sequence: callers open connections and send heads byte by byte, or
-/// nothing. Cause: nobody ends a connection on which nothing whole arrives.
+/// Guards against connections without a whole request that take every descriptor.
 #[tokio::test]
 async fn slow_heads_and_idle_connections_are_closed() {
     let mut plan = Plan::default();
@@ -155,9 +152,7 @@
     assert!(!matches!(idle.head().await, Ok(Some(_))));
 }
 
-/// Symptom: an idle connection that its caller may still use is closed. Sequence: a caller waits for
-/// less than the idle timeout, and more than the header timeout. Cause: the timeout of heads runs
-/// before the first byte of one.
+/// Guards against an idle connection that is closed by the timeout of heads.
 #[tokio::test]
 async fn a_connection_idle_within_its_timeout_is_used_again() {
     let mut plan = Plan::default();
@@ -172,8 +167,7 @@
     }
 }
 
-/// Symptom: replicas work for callers that have left. Sequence: a caller closes its connection, in
-/// the middle of a stream or before its answer. Cause: the router reads on.
+/// Guards against replicas that work for callers that have left.
 #[tokio::test]
 async fn a_caller_that_leaves_ends_the_work() {
     let fleet = fleet(1).await;
@@ -218,9 +212,7 @@
     assert_eq!(seen[0].head.header("x-tenant"), None);
 }
 
-/// Symptom: requests of connected callers fail since no connection to an upstream can be opened.
-/// Sequence: callers open more connections than the process has descriptors. Cause: callers' connections
-/// take every one.
+/// Guards against callers whose connections leave no descriptor to reach an upstream.
 #[tokio::test]
 async fn callers_leave_descriptors_for_upstreams() {
     let mut fleet = fleet(1).await;
--- a/teaselworks/tests/settings.rs
+++ b/teaselworks/tests/settings.rs
@@ -89,8 +89,7 @@
     assert_eq!(settings.platform.shortest_lease_ms, 1_500);
 }
 
-/// Symptom: no router starts on a deployment. Sequence: it sets fewer bounds than others, or has no
-/// port for other routers. Cause: the template writes a field without a value.
+/// Guards against a template that writes a field without a value where a bound is not set.
 #[test]
 fn the_deployed_template_needs_no_bounds() {
     let mut fields = fields();
@@ -104,6 +103,16 @@
     assert_eq!(settings.bounds.retry_ratio, 0.2);
 }
 
+/// Guards against a syntax error as the only word on a template that nobody filled in.
+#[test]
+fn a_template_that_was_not_filled_in_is_told_as_such() {
+    let faults = Settings::parse("router.settings.jsonc", TEMPLATE).unwrap_err();
+    let told = faults.to_string();
+    assert!(told.starts_with("router.settings.jsonc:5:13: "), "{told}");
+    assert!(told.contains("template that was not filled in: placeholder `{{node_name|json}}`"));
+    assert_eq!(faults.0.len(), 1);
+}
+
 #[test]
 fn every_fault_is_told_with_its_line_and_field() {
     let text = render(TEMPLATE, &fields(), &Value::Null)
@@ -125,7 +134,7 @@
     assert!(faults.to_string().contains("listen.health: is the address of callers too"));
 }
 
-/// Symptom: an operator sees a started router with other settings than the file says.
+/// Guards against a router that runs with other settings than its file says.
 #[test]
 fn the_program_refuses_faulty_settings_before_it_listens() {
     let folder = tempfile::tempdir().unwrap();
--- a/teaselworks/tests/stop.rs
+++ b/teaselworks/tests/stop.rs
@@ -17,8 +17,7 @@
     Call::new("GET", HOST, "/read/a", id).key(KEY).with("X-Deadline-Ms", "1500")
 }
 
-/// Symptom: answers are cut by a planned stop. Sequence: SIGTERM arrives in the middle of a stream;
-/// callers that have not noticed send more. Cause: the process ends with its signal.
+/// Guards against answers that a planned stop cuts, and callers that are closed unanswered.
 #[tokio::test]
 async fn a_planned_stop_finishes_what_is_in_progress() {
     let mut fleet = fleet(1).await;
@@ -100,8 +99,7 @@
     assert_eq!(stopped[0]["cut"], 0);
 }
 
-/// Symptom: callers and replicas of a killed router are served by nobody until it has learnt
-/// everything again. Sequence: SIGKILL, then a start.
+/// Guards against a router that does not serve again after it was killed.
 #[tokio::test]
 async fn a_killed_router_serves_again_after_its_start() {
     let mut fleet = fleet(1).await;
--- a/teaselworks_policy/src/configuration/route.rs
+++ b/teaselworks_policy/src/configuration/route.rs
@@ -5,8 +5,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Silence that is longer than callers aim at by so much is not awaited: an answer that came then
-/// would earn what a late one does, and callers leave a stream after eight times its pause.
+/// Multiple of what callers aim at beyond which silence is not awaited; they leave a silent stream
+/// some time after that.
 const SILENCE_FACTOR: u32 = 3;
 
 /// What a route carries.
@@ -79,8 +79,7 @@
 
     /// Returns the silence after which a request that may run again is asked elsewhere.
     ///
-    /// What goes wrong without it: a replica that went dark, or lost the answer, is waited for until
-    /// the deadline, though another one would have answered long before.
+    /// A replica that went dark or lost the answer says nothing until the deadline.
     ///
     /// ```
     /// use std::time::Duration;
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -73,8 +73,7 @@
 
     /// Puts a configuration in force; false where the one in force is as new.
     ///
-    /// What goes wrong without the comparison: a peer or a slow answer of the store brings an older
-    /// version, and callers meet routes and keys that were taken away already.
+    /// Another router or a slow answer of the store may bring an older one.
     pub fn set_configuration(&mut self, configuration: Configuration) -> bool {
         let in_force = self.configuration.as_ref().map(|configuration| configuration.version);
         if in_force.is_some_and(|version| version >= configuration.version) {
--- a/teaselworks_policy/src/membership.rs
+++ b/teaselworks_policy/src/membership.rs
@@ -118,9 +118,7 @@
 
     /// Returns the router that reads the store for this one; `None` where it reads the store itself.
     ///
-    /// All routers order the fleet in the same way, so that nothing is agreed on. What goes wrong
-    /// where every router reads: in a fleet of 73 routers a calm day's worth was 0.56, and 0.87 where
-    /// four read.
+    /// All routers order the fleet in the same way, so that nothing is agreed on.
     ///
     /// ```
     /// use teaselworks_policy::membership::Membership;
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -218,8 +218,8 @@
 /// Returns the requests that other routers usually have at a replica: the mean of what replicas
 /// report, or else as many for each other router as this one has.
 ///
-/// What goes wrong with the guess alone: one request of this router at a replica that has not
-/// reported lately counts for as many as there are routers, and the next one is sent elsewhere.
+/// By the guess alone, one own request at a replica that has not reported lately would count for as
+/// many as there are routers.
 fn usual(candidates: &[&Member], now: Duration, routers: u32) -> Usual {
     let mut reported = 0.0;
     let mut trusted = 0.0;
@@ -237,8 +237,7 @@
 
 /// Returns the shortest wait for a slot where all are taken.
 ///
-/// What goes wrong without it: a request that no replica can take in time is held until its deadline
-/// and refused then, when its caller has no time left to come back.
+/// A request that no replica can take in time is refused while its caller can still come back.
 fn expected_wait(
     candidates: &[&Member],
     now: Duration,
--- a/teaselworks_policy/src/retry/budget.rs
+++ b/teaselworks_policy/src/retry/budget.rs
@@ -27,9 +27,8 @@
 
 /// Repeats of this router, by service.
 ///
-/// What goes wrong without it: when replicas fail, every request is sent several times, and the load
-/// that made them fail is multiplied. As the bound is on the sum over all routers, each takes the
-/// ratio of its own requests and an equal part of the rest.
+/// Repeats must not multiply the load that makes replicas fail. As the bound is on the sum over all
+/// routers, each takes the ratio of its own requests and an equal part of the rest.
 #[derive(Debug)]
 pub struct RetryBudget {
     settings: BudgetSettings,
--- a/teaselworks_policy/src/verdict.rs
+++ b/teaselworks_policy/src/verdict.rs
@@ -161,9 +161,8 @@
 
     /// Returns the HTTP status that callers see.
     ///
-    /// What goes wrong with a status that fits the reason alone: callers take 408, 421, 429 and 503
-    /// as a promise that the request was not executed and repeat it, and one that is not idempotent
-    /// runs twice. The verdict therefore decides first.
+    /// Callers take 408, 421, 429 and 503 as a promise that the request was not executed, and repeat
+    /// it; the verdict therefore goes before the reason.
     ///
     /// ```
     /// use teaselworks_policy::verdict::{Refusal, RefusalReason};
--- a/teaselworks_policy/tests/health.rs
+++ b/teaselworks_policy/tests/health.rs
@@ -10,9 +10,7 @@
     (0..times).any(|_| health.observe(now, Symptom::Broken, 0.0))
 }
 
-/// Symptom: after a replica was down, many requests fail at once when it is tried again.
-/// Sequence: its ejection ends while it is still down. Cause: the end of an ejection lets every
-/// request through, not one.
+/// Guards against a burst of failures at a replica whose ejection ends while it is down.
 #[test]
 fn one_trial_follows_an_ejection() {
     let mut health = Health::default();
@@ -26,8 +24,7 @@
     assert!(health.is_usable(4 * SECOND));
 }
 
-/// Symptom: a replica that works gets no request for ever. Sequence: its trial is cancelled by its
-/// caller. Cause: the trial is neither passed nor failed, and no other one follows.
+/// Guards against a replica that gets no request any more, since its trial was cancelled.
 #[test]
 fn a_cancelled_trial_is_made_again() {
     let mut health = Health::default();
@@ -37,9 +34,7 @@
     assert!(health.is_usable(2 * SECOND));
 }
 
-/// Symptom: all replicas of a service are ejected, whose requests fail by nature.
-/// Sequence: one request in seven fails at each replica. Cause: failures are counted without regard
-/// to the other replicas.
+/// Guards against the ejection of replicas for failures that all of them share.
 #[test]
 fn failures_that_all_replicas_share_eject_none() {
     let mut health = Health::default();
@@ -56,9 +51,7 @@
     assert!(ejected);
 }
 
-/// Symptom: a service whose replicas all seem ill gets no request at all.
-/// Sequence: a fault between router and replicas breaks a few requests to each. Cause: ejection
-/// looks at one replica at a time.
+/// Guards against a service without replicas after a fault on the way to all of them.
 #[test]
 fn most_of_a_service_is_never_ejected() {
     let mut pool = Pool::default();
--- a/teaselworks_policy/tests/membership.rs
+++ b/teaselworks_policy/tests/membership.rs
@@ -9,9 +9,7 @@
     ([127, 0, 0, 1], port).into()
 }
 
-/// Symptom: a router that is turned away by the store has nobody to ask. Sequence: the store is
-/// away for longer than the leases of the registrations; all lapse. Cause: peers are forgotten with
-/// their registration.
+/// Guards against a router with nobody to ask, since registrations lapsed in an outage.
 #[test]
 fn routers_whose_lease_lapsed_are_still_asked_but_not_counted() {
     let mut membership = Membership::new("a".into(), vec![address(1)]);
@@ -55,8 +53,7 @@
     fleet
 }
 
-/// Symptom: in a fleet of 70 routers, calls to the store cost a fifth of all that is earned.
-/// Sequence: each change of the list wakes every router, and each reads it. Cause: all read.
+/// Guards against calls to the store that grow with the square of the fleet.
 #[test]
 fn a_few_routers_read_for_a_large_fleet_and_all_know_which() {
     let fleet = fleet(73);
--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -57,8 +57,7 @@
     }
 }
 
-/// Symptom: after one replica left, every chat finds its cache empty. Sequence: the list of replicas
-/// changes by one. Cause: keys are spread by the number of replicas.
+/// Guards against every chat losing its cache when one replica leaves.
 #[test]
 fn a_replica_that_leaves_moves_only_its_own_keys() {
     let whole = pool(18, 48);
@@ -73,8 +72,7 @@
     }
 }
 
-/// Symptom: one replica is overloaded while others are idle. Sequence: a key gets a third of all
-/// requests. Cause: reuse goes before load without a bound.
+/// Guards against one replica that is overloaded by a hot key while others are idle.
 #[test]
 fn a_hot_key_is_spread_within_the_bound() {
     let mut pool = pool(6, 48);
@@ -91,9 +89,7 @@
     assert!(f64::from(*most) <= 2.0 * 10.0 + 3.0, "{loads:?}");
 }
 
-/// Symptom: one request in five of a calm day leaves the replica that holds its prompt.
-/// Sequence: a replica has not reported its load for a while, and holds one request of this router.
-/// Cause: that one is taken for as many as there are routers.
+/// Guards against one own request that counts for as many as there are routers.
 #[test]
 fn a_replica_that_has_not_reported_counts_as_loaded_as_usual() {
     let mut pool = pool(6, 48);
@@ -129,8 +125,7 @@
     assert_eq!(&*next.upstream.zone, "b");
 }
 
-/// Symptom: requests wait until their deadline and are refused then. Sequence: every replica reports
-/// that it is full for longer than the requests have left. Cause: nobody compares the two.
+/// Guards against requests that wait for their deadline where every replica is full.
 #[test]
 fn what_cannot_be_answered_in_time_is_refused_at_once() {
     let mut pool = pool(2, 2);
@@ -153,7 +148,7 @@
     assert!(refusal.retry_after.is_some());
 }
 
-/// Symptom: a request that a replica turned away is sent to the same one again.
+/// Guards against a request that returns to a replica that turned it away.
 #[test]
 fn replicas_that_were_tried_are_left_out() {
     let pool = pool(3, 6);
@@ -163,9 +158,7 @@
     assert_eq!(&*placed.upstream.id, "i-1");
 }
 
-/// Symptom: a replica that was just added, or takes over from one that is full or leaves, reads every
-/// prompt from its start. Sequence: a key's requests move. Cause: nobody tells the replica who holds
-/// what it needs.
+/// Guards against prompts that are read anew, though another replica holds them.
 #[test]
 fn a_replica_is_told_who_held_the_prompt_before() {
     for key in 10..200 {
--- a/teaselworks_policy/tests/registry.rs
+++ b/teaselworks_policy/tests/registry.rs
@@ -12,10 +12,7 @@
     Duration::from_secs_f64(number)
 }
 
-/// Symptom: a router that has upstreams refuses everything for two seconds after an outage.
-/// Sequence: the store is away for longer than three heartbeats; entries of live upstreams lapse;
-/// the store returns and its list is empty; the upstreams are listed again two seconds later.
-/// Cause: what is missing from the list is taken for gone at once.
+/// Guards against a router without upstreams for seconds, since entries lapsed in an outage.
 #[test]
 fn entries_that_lapsed_in_an_outage_stay_until_they_are_back() {
     let mut registry = Registry::new();
@@ -28,8 +25,7 @@
     assert!(registry.expire(seconds(60.0)).is_empty());
 }
 
-/// Symptom: requests go to an upstream that died during an outage, for ever.
-/// Sequence: as above, but the upstream is not listed again. Cause: the grace period never ends.
+/// Guards against a grace period for lapsed entries that never ends.
 #[test]
 fn entries_that_do_not_come_back_are_gone() {
     let mut registry = Registry::new();
@@ -42,8 +38,7 @@
     assert!(registry.is_empty());
 }
 
-/// Symptom: an upstream gets requests after it has left. Sequence: it announces its end, the store
-/// is away, it leaves. Cause: the grace period for lapsed entries is given to one that said it goes.
+/// Guards against a grace period for an upstream that said it leaves.
 #[test]
 fn an_upstream_that_drained_is_not_waited_for() {
     let mut registry = Registry::new();
@@ -53,9 +48,7 @@
     assert_eq!(registry.replace(seconds(15.0), Vec::new()), [Change::Gone("i-1".into())]);
 }
 
-/// Symptom: an upstream that left gets requests for seconds. Sequence: one call to the store fails,
-/// the next succeeds, the entry is removed. Cause: every failed call is taken for an outage in which
-/// entries lapse.
+/// Guards against one failed call that is taken for an outage in which entries lapse.
 #[test]
 fn a_short_silence_gives_no_grace() {
     let mut registry = Registry::new();
@@ -74,9 +67,7 @@
     assert_eq!(registry.remove(seconds(18.0), "i-1"), Some(Change::Gone("i-1".into())));
 }
 
-/// Symptom: an upstream that left gets requests for seconds. Sequence: this router alone cannot read
-/// the list for a while; an entry is removed just after it can. Cause: a fault of its own is taken
-/// for an outage of the list's keeper.
+/// Guards against a router's own fault that is taken for an outage in which entries lapse.
 #[test]
 fn an_outage_of_one_router_gives_no_grace() {
     let mut registry = Registry::new();
--- a/teaselworks_policy/tests/retry.rs
+++ b/teaselworks_policy/tests/retry.rs
@@ -23,8 +23,7 @@
     Attempts { may_repeat, offers: 1, runs, max_runs: 2, remaining }
 }
 
-/// Symptom: a tag is written twice. Sequence: the replica runs the request and its answer is lost.
-/// Cause: the request is sent again though it may have run.
+/// Guards against a second run of a request whose answer was lost.
 #[test]
 fn what_may_have_run_is_not_sent_again_unless_it_may_repeat() {
     for failure in FAILURES {
@@ -36,8 +35,7 @@
     }
 }
 
-/// Symptom: a caller repeats a request that has run. Sequence: one replica breaks off, then another
-/// one turns the request away. Cause: the status tells of the last attempt alone.
+/// Guards against a refusal that tells of the last attempt alone.
 #[test]
 fn a_promise_covers_every_attempt() {
     let given_up = Attempts { offers: 4, ..attempts(true, 1) };
@@ -73,8 +71,7 @@
 }
 
 proptest! {
-    /// Symptom: replicas that fail get several times their load. Sequence: all routers see failures
-    /// at once. Cause: each keeps to the bound by itself, and the sum does not.
+    /// Guards against routers that keep to the retry budget each, but not together.
     #[test]
     fn the_sum_over_routers_keeps_the_bound(mut loads in loads(7)) {
         let window = Duration::from_secs(10);
--- a/teaselworks_policy/tests/stop.rs
+++ b/teaselworks_policy/tests/stop.rs
@@ -86,8 +86,7 @@
         }
     }
 
-    /// Symptom: a router is killed in the middle of answers, or ends while the balancer still sends
-    /// it callers. Cause: phases do not follow the grace period.
+    /// Guards against a router that is killed in the middle of answers, or ends too early.
     #[test]
     fn phases_follow_in_order_and_end_before_the_kill(
         grace_ms in 1_000_u64..60_000,
