Full replicas refuse at once, and prompts stay where they are

Cause: under a burst of eight times the usual load nothing was refused before the expected wait passed a caller's whole deadline. Engines queued up to 30 requests beyond their 48 slots, so that first tokens came after 0.7 to 1.6 s where callers aim at 0.4 to 0.6 s; where every replica was full, the least loaded of all was chosen, which rarely holds the prompt: 4 million tokens of shared parts were read again and 864 GB copied. Plain services, which say nothing of their load, were pressed until they shed.

Ruled out: the engines' own limits (served 1,900 in time in the first two seconds of the burst, 500 in the next two, at the same load); the retry budget (few repeats).

Change: a request is refused where the wait at the chosen replica is longer than a part of the shortest aim of its service, the same for all kinds; where replicas are full the first few of a key's order are asked alone; refused callers come back one after the other at a part of the rate of placements, as late as they can where there are too many; a service without reports gets a limit by additive increase and multiplicative decrease on the time to the first byte, never below two requests a slot over all routers. An answer that has begun is not refused.

--- a/teaselworks/src/relay/in_flight.rs
+++ b/teaselworks/src/relay/in_flight.rs
@@ -36,6 +36,12 @@
         self.symptom = Some(symptom);
     }
 
+    /// Notes that the answer has begun.
+    pub(super) fn first_byte(&self) {
+        let now = self.shared.now();
+        self.shared.fleet().first_byte(now, &self.service, now.saturating_sub(self.began));
+    }
+
     /// Takes what the upstream said of its load.
     pub(super) fn report(&self, report: LoadReport) {
         let now = self.shared.now();
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -155,6 +155,7 @@
             }
         };
         progress.first_byte();
+        in_flight.first_byte();
         if let Some(load) = answer.facts.load {
             in_flight.report(load);
         }
--- a/teaselworks/src/relay/serving.rs
+++ b/teaselworks/src/relay/serving.rs
@@ -48,6 +48,7 @@
             tried: &self.tried,
             remaining: deadline.remaining(now),
             latest_return: deadline.latest_return(now),
+            is_begun: resumed_after.is_some() || self.runs > 0,
         };
         let mut placement = self.shared.fleet().place(now, &self.prepared.service, &demand)?;
         placement.holder = placement.holder.filter(|_| self.copies_prompts());
@@ -103,11 +104,13 @@
         let latest = self.prepared.deadline.latest_return(now);
         let service = &self.prepared.service;
         let mut fleet = self.shared.fleet();
-        let retry_after = fleet.return_after(service, latest);
-        let (reason, is_repeat) = match decide(failure, &attempts, Some(retry_after)) {
+        let (reason, is_repeat) = match decide(failure, &attempts) {
             Next::Retry { is_repeat, .. } if is_begun => (RetryReason::Resumed, is_repeat),
             Next::Retry { reason, is_repeat } => (reason, is_repeat),
-            Next::GiveUp(refusal) => {
+            Next::GiveUp(mut refusal) => {
+                if refusal.verdict == Verdict::NotRun {
+                    refusal.retry_after = Some(fleet.return_after(now, service, latest));
+                }
                 drop(fleet);
                 self.log_failure(failure, &refusal);
                 return Err(refusal);
@@ -115,6 +118,7 @@
         };
         let is_paid = failure == Failure::Silent;
         if is_repeat && !is_paid && !fleet.try_repeat(now, service) {
+            let retry_after = fleet.return_after(now, service, latest);
             drop(fleet);
             let refusal = Refusal::not_run(RefusalReason::RetryBudget, Some(retry_after));
             self.log_failure(failure, &refusal);
--- a/teaselworks_policy/src/configuration/routes.rs
+++ b/teaselworks_policy/src/configuration/routes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::Route;
 
@@ -10,6 +11,7 @@
 pub struct Routes {
     hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
     names: HashSet<Arc<str>>,
+    targets: HashMap<Arc<str>, Duration>,
 }
 
 impl Routes {
@@ -26,8 +28,17 @@
     pub fn new(routes: impl IntoIterator<Item = Route>) -> Self {
         let mut hosts: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         let mut names = HashSet::new();
+        let mut targets: HashMap<Arc<str>, Duration> = HashMap::new();
         for route in routes {
             names.insert(route.name.clone());
+            for target in &route.targets {
+                let aim = route.target_latency;
+                let shortest = targets.entry(target.service.clone()).or_insert(aim);
+                // A route that states no aim bounds nothing.
+                if shortest.is_zero() || (!aim.is_zero() && aim < *shortest) {
+                    *shortest = aim;
+                }
+            }
             hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in hosts.values_mut() {
@@ -35,7 +46,8 @@
                 b.prefix.len().cmp(&a.prefix.len()).then_with(|| a.prefix.cmp(&b.prefix))
             });
         }
-        Self { hosts, names }
+        targets.retain(|_, aim| !aim.is_zero());
+        Self { hosts, names, targets }
     }
 
     /// Finds the route of a request; `path` is without its query.
@@ -43,6 +55,11 @@
         self.hosts.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns the shortest time to an answer that callers of a service aim at, where any states one.
+    pub fn shortest_target(&self, service: &str) -> Option<Duration> {
+        self.targets.get(service).copied()
+    }
+
     /// Tells whether a route has a name.
     pub fn has(&self, name: &str) -> bool {
         self.names.contains(name)
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
@@ -17,12 +16,8 @@
 use crate::upstream::{Change, Incarnation, LoadReport, Pool, Symptom, Upstream};
 use crate::verdict::{Refusal, RefusalReason};
 
-/// Time after which a caller that found a full service comes back, where nothing is known of how
-/// long its replicas hold a request.
+/// Time after which a caller of a service without any replica comes back.
 const UNKNOWN_RETURN: Duration = Duration::from_millis(300);
-/// Shortest time after which a caller that found a full service comes back: sooner it would meet
-/// the same requests.
-const SHORTEST_RETURN: Duration = Duration::from_millis(50);
 
 /// Bounds that decisions keep.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -80,6 +75,9 @@
             return false;
         }
         self.times.retain(&configuration.routes);
+        for (service, pool) in &mut self.pools {
+            pool.set_target(configuration.routes.shortest_target(service));
+        }
         self.configuration = Some(Arc::new(configuration));
         true
     }
@@ -102,7 +100,12 @@
                 pool.remove(&upstream.id);
             }
         }
-        self.pools.entry(upstream.service.clone()).or_default().put(upstream.clone());
+        let service = &upstream.service;
+        let routes = self.configuration.as_ref().map(|configuration| &configuration.routes);
+        let target = routes.and_then(|routes| routes.shortest_target(service));
+        let pool = self.pools.entry(service.clone()).or_default();
+        pool.set_target(target);
+        pool.put(upstream.clone());
     }
 
     /// Tells whether requests can be served: a configuration and a replica of one of its services
@@ -162,9 +165,19 @@
         let Some(pool) = self.pools.get_mut(service) else {
             return Err(Refusal::not_run(RefusalReason::NoReplica, Some(UNKNOWN_RETURN)));
         };
-        let placement = place(pool, now, demand, &settings, &mut self.random)?;
-        pool.begin(now, &placement.upstream.incarnation());
-        Ok(placement)
+        match place(pool, now, demand, &settings, &mut self.random) {
+            Ok(placement) => {
+                pool.begin(now, &placement.upstream.incarnation());
+                pool.returns.on_placed(now);
+                Ok(placement)
+            }
+            Err(refusal) if refusal.reason == RefusalReason::Overloaded => {
+                let retry_after =
+                    pool.returns.schedule(now, demand.latest_return, &mut self.random);
+                Err(Refusal { retry_after: Some(retry_after), ..refusal })
+            }
+            Err(refusal) => Err(refusal),
+        }
     }
 
     /// Takes what a replica says of its load.
@@ -192,16 +205,19 @@
         self.pools.get_mut(service).is_some_and(|pool| pool.end(now, incarnation, symptom, held))
     }
 
-    /// Returns when a caller that found a service full should come back: about when the next
-    /// request there ends, spread so that returners do not come together.
-    pub fn return_after(&mut self, service: &str, latest: Duration) -> Duration {
-        let members = self.pools.get(service).map(Pool::members).unwrap_or_default();
-        let times: Vec<Duration> = members.iter().filter_map(|member| member.mean_time).collect();
-        let mean = match u32::try_from(times.len()) {
-            Ok(count) if count > 0 => times.iter().sum::<Duration>() / count,
-            _ => UNKNOWN_RETURN,
-        };
-        let spread = self.random.random_range(0.5..1.5);
-        mean.mul_f64(spread).max(SHORTEST_RETURN).min(latest)
+    /// Returns when a caller whose request replicas turned away should come back.
+    pub fn return_after(&mut self, now: Duration, service: &str, latest: Duration) -> Duration {
+        match self.pools.get_mut(service) {
+            Some(pool) => pool.returns.schedule(now, latest, &mut self.random),
+            None => UNKNOWN_RETURN.min(latest),
+        }
+    }
+
+    /// Takes how long a request waited for the first byte of its answer.
+    pub fn first_byte(&mut self, now: Duration, service: &str, waited: Duration) {
+        let routers = self.membership.live();
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.first_byte(now, waited, routers);
+        }
     }
 }
--- /dev/null
+++ b/teaselworks_policy/src/placement/admission.rs
@@ -0,0 +1,51 @@
+//! Whether a request is sent to the chosen replica or refused.
+//!
+//! Answers load beyond what replicas bear: what waits in them longer than callers aim at is answered
+//! late, and delays what is still in time.
+
+use std::time::Duration;
+
+use super::{Demand, PlacementSettings};
+use crate::upstream::{Member, Pool, Usual};
+
+/// Part of what callers aim at that a request may wait for a slot. The same for every request of a
+/// service: with less for some, these would never find a place under load.
+const WAIT_SHARE: f64 = 0.05;
+
+/// Tells whether a request should be refused, since it would not be answered in time.
+pub(super) fn is_refused(
+    pool: &Pool,
+    member: &Member,
+    now: Duration,
+    demand: &Demand<'_>,
+    usual: &Usual,
+    settings: &PlacementSettings,
+) -> bool {
+    if demand.is_begun {
+        return false;
+    }
+    if pool.is_saturated() {
+        return true;
+    }
+    let longest = pool.target().map_or(demand.remaining, |target| target.mul_f64(WAIT_SHARE));
+    let wait = expected_wait(member, now, usual, settings);
+    wait.is_some_and(|wait| wait > longest.min(demand.remaining))
+}
+
+/// Returns the wait for a slot where all are taken; `None` where some is free, or too little is
+/// known to refuse on.
+fn expected_wait(
+    member: &Member,
+    now: Duration,
+    usual: &Usual,
+    settings: &PlacementSettings,
+) -> Option<Duration> {
+    let slots = f64::from(member.upstream.slots.max(1));
+    let ahead = member.load.estimate(now, usual) + 1.0 - slots;
+    // Without a report the estimate is a guess from few requests, too coarse to refuse on.
+    member.load.foreign(now, settings.routers)?;
+    if ahead <= 0.0 {
+        return None;
+    }
+    Some(member.mean_time?.mul_f64(ahead / slots))
+}
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -7,7 +7,7 @@
 
 use rand::{Rng, RngExt};
 
-use super::{Prompt, score};
+use super::{Prompt, admission, score};
 use crate::upstream::{Foreign, Member, Pool, Upstream, Usual};
 use crate::verdict::{Refusal, RefusalReason};
 
@@ -19,6 +19,8 @@
 const USED_EXCESS: f64 = 0.6;
 /// Requests that a replica may hold beyond the bound, so that small loads are not spread for it.
 const SPARE_REQUESTS: f64 = 2.0;
+/// Replicas of a key's order that are considered where all are full.
+const FULL_CHOICES: usize = 3;
 /// Time that a request to another zone must win to be worth its way, as a part of a replica's load.
 const ZONE_PENALTY: f64 = 0.5;
 
@@ -44,6 +46,8 @@
     pub remaining: Duration,
     /// Longest time after which its caller can still come back.
     pub latest_return: Duration,
+    /// Its answer has begun: it goes on also where new requests are refused.
+    pub is_begun: bool,
 }
 
 /// Why a replica was chosen.
@@ -99,6 +103,7 @@
 ///     tried: &[],
 ///     remaining: Duration::from_secs(1),
 ///     latest_return: Duration::from_secs(1),
+///     is_begun: false,
 /// };
 /// let settings = PlacementSettings { capacity_factor: 2.0, routers: 1 };
 /// let mut random = rand_pcg::Pcg32::seed_from_u64(1);
@@ -116,20 +121,35 @@
         let retry_after = ABSENCE_RETRY.min(demand.latest_return);
         return Err(Refusal::not_run(RefusalReason::NoReplica, Some(retry_after)));
     }
-    let wait = expected_wait(&candidates, now, settings);
-    if let Some(wait) = wait.filter(|wait| *wait > demand.remaining) {
-        let retry_after = wait.min(demand.latest_return).mul_f64(random.random_range(0.5..1.0));
-        return Err(Refusal::not_run(RefusalReason::Overloaded, Some(retry_after)));
-    }
+    let usual = usual(&candidates, now, settings.routers);
     let key = demand.prompt.and_then(Prompt::key);
-    Ok(match key {
-        Some(key) => {
-            let mut placement = by_reuse(candidates, now, key, settings);
-            placement.holder = holder(pool, now, key, &placement.upstream.id);
-            placement
-        }
-        None => by_load(&candidates, now, demand.zone, settings, random),
-    })
+    let choice = match key {
+        Some(key) => by_reuse(candidates, now, key, &usual, settings),
+        None => by_load(candidates, now, demand.zone, &usual, random),
+    };
+    if admission::is_refused(pool, choice.member, now, demand, &usual, settings) {
+        return Err(Refusal::not_run(RefusalReason::Overloaded, None));
+    }
+    let mut placement = choice.placement(now);
+    placement.holder = key.and_then(|key| holder(pool, now, key, &placement.upstream.id));
+    Ok(placement)
+}
+
+/// A replica, and what decided for it.
+struct Choice<'a> {
+    member: &'a Member,
+    reason: Reason,
+    load: f64,
+    bound: f64,
+}
+
+impl Choice<'_> {
+    fn placement(&self, now: Duration) -> Placement {
+        let Self { member, reason, load, bound } = *self;
+        let report_age = member.load.report_age(now);
+        let upstream = member.upstream.clone();
+        Placement { upstream, reason, load, bound, report_age, holder: None }
+    }
 }
 
 /// Returns the replica, other than the chosen one, that most likely holds the prompt of a key: the
@@ -145,74 +165,67 @@
     Some(best.upstream.address)
 }
 
-/// Returns the first replica in the key's order whose load is within the bound.
-fn by_reuse(
-    mut candidates: Vec<&Member>,
+/// Returns the first replica in the key's order whose load is within the bound, or the least loaded
+/// of the first few where none is: any other would read the prompt anew, for which it has no time.
+fn by_reuse<'a>(
+    mut candidates: Vec<&'a Member>,
     now: Duration,
     key: u64,
+    usual: &Usual,
     settings: &PlacementSettings,
-) -> Placement {
-    let usual = usual(&candidates, now, settings.routers);
-    let total: f64 = candidates.iter().map(|member| member.load.estimate(now, &usual)).sum();
+) -> Choice<'a> {
+    let total: f64 = candidates.iter().map(|member| member.load.estimate(now, usual)).sum();
     let mean = total / candidates.len() as f64;
     let excess = (settings.capacity_factor - 1.0).max(0.0) * USED_EXCESS;
     let bound = mean * (1.0 + excess) + SPARE_REQUESTS;
     candidates.sort_by_cached_key(|member| Reverse(score(key, &member.upstream.id)));
     for (rank, member) in candidates.iter().enumerate() {
-        let load = member.load.estimate(now, &usual);
+        let load = member.load.estimate(now, usual);
         let has_slot = load < f64::from(member.upstream.slots);
         if load + 1.0 > bound || !has_slot {
             continue;
         }
         let reason = if rank == 0 { Reason::Home } else { Reason::Spill };
-        return placement(member, now, reason, load, bound);
+        return Choice { member, reason, load, bound };
     }
-    least_loaded(&candidates, now, bound, |member| member.load.estimate(now, &usual))
+    candidates.truncate(FULL_CHOICES);
+    least_loaded(&candidates, bound, |member| member.load.estimate(now, usual))
 }
 
 /// Returns the replica with the least load, those of the same zone before others.
-fn by_load(
-    candidates: &[&Member],
+fn by_load<'a>(
+    mut candidates: Vec<&'a Member>,
     now: Duration,
     zone: &str,
-    settings: &PlacementSettings,
+    usual: &Usual,
     random: &mut impl Rng,
-) -> Placement {
+) -> Choice<'a> {
     // Where replicas are alike, routers must not all choose the first one listed.
     let offset = random.random_range(0..candidates.len());
-    let mut order: Vec<&Member> = candidates.to_vec();
-    order.rotate_left(offset);
-    let usual = usual(candidates, now, settings.routers);
+    candidates.rotate_left(offset);
     let cost = |member: &Member| {
         let way = if &*member.upstream.zone == zone { 0.0 } else { ZONE_PENALTY };
         let slots = f64::from(member.upstream.slots.max(1));
-        (member.load.estimate(now, &usual) + way) / slots
+        (member.load.estimate(now, usual) + way) / slots
     };
-    least_loaded(&order, now, f64::INFINITY, cost)
+    least_loaded(&candidates, f64::INFINITY, cost)
 }
 
-fn least_loaded(
-    candidates: &[&Member],
-    now: Duration,
+fn least_loaded<'a>(
+    candidates: &[&'a Member],
     bound: f64,
     cost: impl Fn(&Member) -> f64,
-) -> Placement {
+) -> Choice<'a> {
     let mut best = candidates[0];
     let mut least = cost(best);
-    for member in &candidates[1..] {
+    for &member in &candidates[1..] {
         let cost = cost(member);
         if cost < least {
             best = member;
             least = cost;
         }
     }
-    placement(best, now, Reason::LeastLoad, least, bound)
-}
-
-fn placement(member: &Member, now: Duration, reason: Reason, load: f64, bound: f64) -> Placement {
-    let report_age = member.load.report_age(now);
-    let upstream = member.upstream.clone();
-    Placement { upstream, reason, load, bound, report_age, holder: None }
+    Choice { member: best, reason: Reason::LeastLoad, load: least, bound }
 }
 
 /// Returns the requests that other routers usually have at a replica: the mean of what replicas
@@ -234,27 +247,3 @@
     let foreign = if trusted > 0.0 { reported / trusted } else { guessed };
     Usual { foreign, routers }
 }
-
-/// Returns the shortest wait for a slot where all are taken.
-///
-/// A request that no replica can take in time is refused while its caller can still come back.
-fn expected_wait(
-    candidates: &[&Member],
-    now: Duration,
-    settings: &PlacementSettings,
-) -> Option<Duration> {
-    let usual = usual(candidates, now, settings.routers);
-    let mut shortest = None;
-    for member in candidates {
-        let slots = f64::from(member.upstream.slots.max(1));
-        let ahead = member.load.estimate(now, &usual) - slots;
-        // Without a report the estimate is a guess from few requests, too coarse to refuse on.
-        if ahead < 0.0 || member.load.foreign(now, settings.routers).is_none() {
-            return None;
-        }
-        let mean_time = member.mean_time?;
-        let wait = mean_time.mul_f64((ahead + 1.0) / slots);
-        shortest = Some(shortest.map_or(wait, |shortest: Duration| shortest.min(wait)));
-    }
-    shortest
-}
--- a/teaselworks_policy/src/placement/mod.rs
+++ b/teaselworks_policy/src/placement/mod.rs
@@ -1,9 +1,12 @@
 //! Which upstream a request is sent to.
 
+mod admission;
 mod choice;
 mod prompt;
 mod rendezvous;
+mod returns;
 
 pub use self::choice::{Demand, Placement, PlacementSettings, Reason, place};
 pub use self::prompt::{Part, Prompt};
 pub use self::rendezvous::score;
+pub use self::returns::Returns;
--- a/teaselworks_policy/src/retry/decision.rs
+++ b/teaselworks_policy/src/retry/decision.rs
@@ -169,9 +169,9 @@
 ///
 /// let remaining = Duration::from_secs(1);
 /// let attempts = Attempts { may_repeat: false, offers: 1, runs: 1, max_runs: 1, remaining };
-/// assert!(matches!(decide(Failure::Broken, &attempts, None), Next::GiveUp(_)));
+/// assert!(matches!(decide(Failure::Broken, &attempts), Next::GiveUp(_)));
 /// ```
-pub fn decide(failure: Failure, attempts: &Attempts, retry_after: Option<Duration>) -> Next {
+pub fn decide(failure: Failure, attempts: &Attempts) -> Next {
     let ran_before = attempts.runs > 0;
     let verdict = if ran_before { Verdict::MayHaveRun } else { Verdict::NotRun };
     let has_time = attempts.remaining >= LEAST_TIME;
@@ -189,6 +189,6 @@
     };
     match verdict {
         Verdict::MayHaveRun => Next::GiveUp(Refusal::may_have_run(reason)),
-        Verdict::NotRun => Next::GiveUp(Refusal::not_run(reason, retry_after)),
+        Verdict::NotRun => Next::GiveUp(Refusal::not_run(reason, None)),
     }
 }
--- a/teaselworks_policy/src/upstream/mod.rs
+++ b/teaselworks_policy/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! Replicas of engines and services: which exist, how loaded and how healthy they seem.
 
+mod concurrency;
 mod health;
 mod load;
 mod pool;
@@ -9,6 +10,7 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
+pub use self::concurrency::ConcurrencyLimit;
 pub use self::health::{Health, Symptom};
 pub use self::load::{Foreign, Load, LoadReport, Usual};
 pub use self::pool::{Member, Pool};
--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Health, Incarnation, Load, LoadReport, Symptom, Upstream};
+use crate::placement::Returns;
+
+use super::{ConcurrencyLimit, Health, Incarnation, Load, LoadReport, Symptom, Upstream};
 
 /// Weight of the latest request in a running mean of times.
 const LATEST_WEIGHT: f64 = 0.1;
@@ -42,6 +44,12 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     members: Vec<Member>,
+    /// Shortest time to an answer that callers of the service aim at.
+    target: Option<Duration>,
+    reports_load: bool,
+    concurrency: ConcurrencyLimit,
+    /// When callers that were refused come back.
+    pub returns: Returns,
 }
 
 impl Pool {
@@ -76,6 +84,37 @@
         *member = Member::new(upstream, true);
     }
 
+    /// Sets the shortest time to an answer that callers of the service aim at.
+    pub fn set_target(&mut self, target: Option<Duration>) {
+        self.target = target;
+    }
+
+    /// Returns the shortest time to an answer that callers of the service aim at.
+    pub fn target(&self) -> Option<Duration> {
+        self.target
+    }
+
+    /// Tells whether this router keeps as many requests at the service as are answered in time; one
+    /// that reports its load is judged by that.
+    pub fn is_saturated(&self) -> bool {
+        !self.reports_load && !self.concurrency.allows(self.in_progress())
+    }
+
+    fn in_progress(&self) -> u32 {
+        self.members.iter().map(|member| member.load.own()).sum()
+    }
+
+    /// Takes how long a request waited for the first byte of its answer, in a fleet of so many
+    /// routers.
+    pub fn first_byte(&mut self, now: Duration, waited: Duration, routers: u32) {
+        let Some(target) = self.target else { return };
+        let slots: u32 = self.members.iter().map(|member| member.upstream.slots).sum();
+        // Beside each that runs one may wait: its answer takes about twice as long.
+        let least = 2.0 * f64::from(slots) / f64::from(routers.max(1));
+        let in_progress = self.in_progress();
+        self.concurrency.observe(now, waited, target, in_progress, least);
+    }
+
     /// Sends no new requests to a replica until its entry can be read again.
     pub fn suspend(&mut self, id: &str) {
         if let Some(member) = self.find_mut(id) {
@@ -152,6 +191,7 @@
 
     /// Takes a replica's report of its load; one of an earlier start changes nothing.
     pub fn report(&mut self, now: Duration, incarnation: &Incarnation, report: LoadReport) {
+        self.reports_load = true;
         if let Some(member) = self.find_incarnation(incarnation) {
             member.load.report(now, report);
         }
