A model of engines and callers that replays loads; late callers leave room

Cause: after a burst the callers that were refused in it come back within a third of their time and take the places of new ones: the service stayed broken for four seconds.

Change: teaselworks_model plays recorded loads (8x and 3.5x bursts, a third of the engines dark, a calm one) with seeds through the same calls as the relay makes: engines in steps, prompts that delay them, kept parts, copies, reports that lag, callers that return and leave. Callers that are late already, by the deadline that they state against the longest of their route, take 95 of 100 slots at most. Looks along a key's order end at the second full replica; a wait of 0.15 of the aim is taken.

Ruled out: longer returns (a third of what callers have left is all that they honour).

The model has no plain service and no preemption, and its engines finish somewhat less.

--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -28,6 +28,8 @@
     pub(super) service: Arc<str>,
     pub(super) workspace: Option<Arc<Workspace>>,
     pub(super) deadline: Deadline,
+    /// The caller has waited for longer than it aims at.
+    pub(super) is_late: bool,
     pub(super) method: Method,
     pub(super) target: Uri,
     pub(super) headers: HeaderMap,
@@ -66,7 +68,8 @@
         None => return Err(RefusalReason::Malformed),
     };
     let Parts { method, headers, .. } = head;
-    Ok(Prepared { facts, route, service, workspace, deadline, method, target, headers })
+    let is_late = false;
+    Ok(Prepared { facts, route, service, workspace, deadline, is_late, method, target, headers })
 }
 
 /// The body of a caller's request.
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -46,7 +46,7 @@
         return refuse(progress, Some(&id), &refusal, 0, None);
     };
     let version = Some(configuration.version);
-    let prepared = match request::check(head, facts, &configuration, shared.now()) {
+    let mut prepared = match request::check(head, facts, &configuration, shared.now()) {
         Ok(prepared) => prepared,
         Err(reason) => return refuse(progress, Some(&id), &plain(reason), 0, version),
     };
@@ -54,7 +54,12 @@
     if let Err(refusal) = shared.admit(&prepared.route.name, &prepared.deadline) {
         return refuse(progress, Some(&id), &refusal, 0, version);
     }
-    shared.fleet().on_request(shared.now(), &prepared.service);
+    prepared.is_late = shared.fleet().on_request(
+        shared.now(),
+        &prepared.service,
+        &prepared.route,
+        prepared.facts.deadline,
+    );
     let body = request::read_body(incoming, &prepared.headers, &configuration.limits).await;
     match body {
         Ok(body) => Serving::new(shared, prepared, configuration, body).run(progress).await,
--- a/teaselworks/src/relay/serving.rs
+++ b/teaselworks/src/relay/serving.rs
@@ -48,6 +48,7 @@
             tried: &self.tried,
             remaining: deadline.remaining(now),
             latest_return: deadline.latest_return(now),
+            is_late: self.prepared.is_late,
             is_begun: resumed_after.is_some() || self.runs > 0,
         };
         let mut placement = self.shared.fleet().place(now, &self.prepared.service, &demand)?;
--- /dev/null
+++ b/teaselworks_model/tests/loads.rs
@@ -0,0 +1,101 @@
+//! Recorded loads, replayed against the routers' decisions.
+
+use teaselworks_model::{Load, Outcome, run};
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+const CALM: &str = include_str!("../loads/calm.jsonc");
+const BURST: &str = include_str!("../loads/burst-8x.jsonc");
+const SMALL_BURST: &str = include_str!("../loads/burst-3.5x.jsonc");
+const DARK_THIRD: &str = include_str!("../loads/dark-third.jsonc");
+
+fn replay(text: &str, check: impl Fn(&Outcome)) {
+    let load = Load::parse(text).unwrap();
+    for seed in SEEDS {
+        let outcome = run(&load, seed);
+        println!("seed {seed}: {outcome:#?}");
+        check(&outcome);
+    }
+}
+
+fn in_time(outcome: &Outcome, from_s: u64, to_s: u64) -> f64 {
+    let windows = || outcome.windows.range(from_s..to_s).map(|(_, window)| window);
+    let asked: u32 = windows().map(|window| window.asked).sum();
+    f64::from(windows().map(|window| window.in_time).sum::<u32>()) / f64::from(asked)
+}
+
+/// Guards against refusals where there is room for everybody.
+#[test]
+fn usual_requests_are_all_answered_in_time() {
+    replay(CALM, |outcome| {
+        for (at, window) in &outcome.windows {
+            assert_eq!((window.in_time, window.refused), (window.asked, 0), "second {at}");
+        }
+    });
+}
+
+/// Guards against engines whose queues hold more than callers wait for, so that under a burst every
+/// answer is late.
+#[test]
+fn a_burst_beyond_all_capacity_leaves_a_share_that_is_served_in_time() {
+    replay(BURST, |outcome| {
+        assert!(in_time(outcome, 4, 10) > 0.33);
+        for at in [6, 8] {
+            assert!(in_time(outcome, at, at + 2) > 0.22, "second {at}");
+        }
+    });
+}
+
+/// Guards against returning callers who keep a service down after its load has passed.
+#[test]
+fn a_service_is_whole_again_soon_after_a_burst() {
+    replay(BURST, |outcome| {
+        assert!(in_time(outcome, 10, 14) > 0.6);
+        assert!(in_time(outcome, 14, 20) > 0.97);
+    });
+}
+
+/// Guards against prompts that are read or copied anew at every replica, since the least loaded of
+/// all is chosen where all are full.
+#[test]
+fn a_burst_keeps_prompts_where_they_are() {
+    replay(BURST, |outcome| {
+        assert!(outcome.totals.read_tokens < 1_400_000);
+        assert!(outcome.totals.copied_tokens < 2_500_000);
+    });
+}
+
+/// Guards against a kind of request that never finds a place under load.
+#[test]
+fn no_kind_starves_under_a_burst() {
+    replay(BURST, |outcome| {
+        let served = |name: &str| {
+            let window = &outcome.kinds[name];
+            f64::from(window.in_time + window.late) / f64::from(window.asked)
+        };
+        let shares = ["commentary", "gloss", "tag"].map(served);
+        for share in shares {
+            assert!(share > 0.5 * shares.iter().copied().fold(0.0, f64::max), "{shares:?}");
+        }
+    });
+}
+
+/// Guards against refusals of what a service can just bear.
+#[test]
+fn a_burst_within_reach_is_mostly_served_in_time() {
+    replay(SMALL_BURST, |outcome| {
+        assert!(in_time(outcome, 4, 10) > 0.85);
+        assert!(in_time(outcome, 12, 20) > 0.98);
+        let refused: u32 = outcome.windows.values().map(|window| window.refused).sum();
+        assert!(refused < 300, "{refused}");
+    });
+}
+
+/// Guards against a fleet that stays broken after a third of its engines was dark in a burst.
+#[test]
+fn a_fleet_that_lost_a_third_in_a_burst_serves_on_and_recovers() {
+    replay(DARK_THIRD, |outcome| {
+        assert!(in_time(outcome, 6, 12) > 0.5);
+        assert!(in_time(outcome, 14, 20) > 0.97);
+    });
+}
--- a/teaselworks_policy/benches/placement.rs
+++ b/teaselworks_policy/benches/placement.rs
@@ -30,6 +30,7 @@
             remaining: Duration::from_secs(10),
             latest_return: Duration::from_secs(3),
             is_begun: false,
+            is_late: false,
         };
         criterion.bench_function(&format!("placement of a prompt, {replicas} replicas"), |bench| {
             bench.iter(|| {
--- a/teaselworks_policy/src/deadline.rs
+++ b/teaselworks_policy/src/deadline.rs
@@ -1,7 +1,50 @@
 //! How long a request may still take.
 
+use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::configuration::{Route, Routes};
+
+/// Part of the longest deadline that is left of it with each shorter one.
+const LONGEST_KEPT: f64 = 0.999;
+
+/// Longest time that callers of each route wait for an answer.
+///
+/// Callers state what is left of it: less, where they were refused before and came back.
+#[derive(Debug, Default)]
+pub struct LongestDeadlines {
+    routes: HashMap<Arc<str>, Duration>,
+}
+
+impl LongestDeadlines {
+    /// Takes a caller's deadline; tells whether the caller has waited for longer than it aims at.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselworks_policy::configuration::{Kind, Route};
+    /// use teaselworks_policy::deadline::LongestDeadlines;
+    ///
+    /// let route = Route::example(Kind::Stream, "/a/");
+    /// let mut deadlines = LongestDeadlines::default();
+    /// assert!(!deadlines.is_late(&route, Duration::from_secs(3)));
+    /// assert!(deadlines.is_late(&route, Duration::from_secs(2)));
+    /// ```
+    pub fn is_late(&mut self, route: &Route, deadline: Duration) -> bool {
+        let Some(longest) = self.routes.get_mut(&route.name) else {
+            self.routes.insert(route.name.clone(), deadline);
+            return false;
+        };
+        *longest = deadline.max(longest.mul_f64(LONGEST_KEPT));
+        longest.saturating_sub(deadline) > route.target_latency
+    }
+
+    /// Forgets routes that a configuration does not have.
+    pub fn retain(&mut self, routes: &Routes) {
+        self.routes.retain(|name, _| routes.has(name));
+    }
+}
+
 /// The end of a request's time, and what its caller still waits for after an elapsed time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Deadline {
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -7,7 +7,8 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, Route};
+use crate::deadline::LongestDeadlines;
 use crate::membership::Membership;
 use crate::placement::{Demand, Placement, PlacementSettings, place};
 use crate::retry::{BudgetSettings, RetryBudget};
@@ -36,6 +37,7 @@
     pools: HashMap<Arc<str>, Pool>,
     budget: RetryBudget,
     times: RouteTimes,
+    deadlines: LongestDeadlines,
     random: Pcg32,
     /// The other routers.
     pub membership: Membership,
@@ -50,6 +52,7 @@
             pools: HashMap::new(),
             budget: RetryBudget::new(settings.budget),
             times: RouteTimes::default(),
+            deadlines: LongestDeadlines::default(),
             random: Pcg32::seed_from_u64(seed),
             membership,
         }
@@ -75,6 +78,7 @@
             return false;
         }
         self.times.retain(&configuration.routes);
+        self.deadlines.retain(&configuration.routes);
         for (service, pool) in &mut self.pools {
             pool.set_target(configuration.routes.shortest_target(service));
         }
@@ -141,9 +145,17 @@
         self.times.add(route, elapsed);
     }
 
-    /// Counts a request for a service.
-    pub fn on_request(&mut self, now: Duration, service: &Arc<str>) {
+    /// Counts a request for a service; tells whether its caller has waited for longer than it aims
+    /// at, as one that was refused and came back.
+    pub fn on_request(
+        &mut self,
+        now: Duration,
+        service: &Arc<str>,
+        route: &Route,
+        deadline: Option<Duration>,
+    ) -> bool {
         self.budget.on_request(now, service);
+        deadline.is_some_and(|deadline| self.deadlines.is_late(route, deadline))
     }
 
     /// Takes one repeat from the retry budget; false where it is spent.
--- a/teaselworks_policy/src/placement/admission.rs
+++ b/teaselworks_policy/src/placement/admission.rs
@@ -10,7 +10,11 @@
 
 /// Part of what callers aim at that a request may wait for a slot. The same for every request of a
 /// service: with less for some, these would never find a place under load.
-const WAIT_SHARE: f64 = 0.05;
+const WAIT_SHARE: f64 = 0.15;
+
+/// Part of the slots that requests may take which are late already: those that can still be answered
+/// in time go before them, so that a service is whole again soon after its load has passed.
+const LATE_SLOTS: f64 = 0.95;
 
 /// Tells whether a request should be refused, since it would not be answered in time.
 pub(super) fn is_refused(
@@ -27,6 +31,12 @@
     if pool.is_saturated() {
         return true;
     }
+    if demand.is_late && is_known(member, now, settings) {
+        let slots = f64::from(member.upstream.slots);
+        if member.load.estimate(now, usual) > LATE_SLOTS * slots {
+            return true;
+        }
+    }
     let longest = pool.target().map_or(demand.remaining, |target| target.mul_f64(WAIT_SHARE));
     let wait = expected_wait(member, now, usual, settings);
     wait.is_some_and(|wait| wait > longest.min(demand.remaining))
@@ -42,10 +52,14 @@
 ) -> Option<Duration> {
     let slots = f64::from(member.upstream.slots.max(1));
     let ahead = member.load.estimate(now, usual) + 1.0 - slots;
-    // Without a report the estimate is a guess from few requests, too coarse to refuse on.
-    member.load.foreign(now, settings.routers)?;
-    if ahead <= 0.0 {
+    if ahead <= 0.0 || !is_known(member, now, settings) {
         return None;
     }
     Some(member.mean_time?.mul_f64(ahead / slots))
 }
+
+/// Tells whether a report is known: without one the load is a guess from few requests, too coarse to
+/// refuse on.
+fn is_known(member: &Member, now: Duration, settings: &PlacementSettings) -> bool {
+    member.load.foreign(now, settings.routers).is_some()
+}
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -20,7 +20,7 @@
 /// Requests that a replica may hold beyond the bound, so that small loads are not spread for it.
 const SPARE_REQUESTS: f64 = 2.0;
 /// Replicas of a key's order that are considered where all are full.
-const FULL_CHOICES: usize = 3;
+const FULL_CHOICES: usize = 2;
 /// Time that a request to another zone must win to be worth its way, as a part of a replica's load.
 const ZONE_PENALTY: f64 = 0.5;
 
@@ -48,6 +48,8 @@
     pub latest_return: Duration,
     /// Its answer has begun: it goes on also where new requests are refused.
     pub is_begun: bool,
+    /// Its caller has waited for longer than it aims at.
+    pub is_late: bool,
 }
 
 /// Why a replica was chosen.
@@ -104,6 +106,7 @@
 ///     remaining: Duration::from_secs(1),
 ///     latest_return: Duration::from_secs(1),
 ///     is_begun: false,
+///     is_late: false,
 /// };
 /// let settings = PlacementSettings { capacity_factor: 2.0, routers: 1 };
 /// let mut random = rand_pcg::Pcg32::seed_from_u64(1);
@@ -179,10 +182,17 @@
     let excess = (settings.capacity_factor - 1.0).max(0.0) * USED_EXCESS;
     let bound = mean * (1.0 + excess) + SPARE_REQUESTS;
     candidates.sort_by_cached_key(|member| Reverse(score(key, &member.upstream.id)));
+    let mut full = 0;
     for (rank, member) in candidates.iter().enumerate() {
         let load = member.load.estimate(now, usual);
-        let has_slot = load < f64::from(member.upstream.slots);
-        if load + 1.0 > bound || !has_slot {
+        if load >= f64::from(member.upstream.slots) {
+            full += 1;
+            if full == FULL_CHOICES {
+                break;
+            }
+            continue;
+        }
+        if load + 1.0 > bound {
             continue;
         }
         let reason = if rank == 0 { Reason::Home } else { Reason::Spill };
--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -40,7 +40,15 @@
 fn demand(prompt: Option<&Prompt>) -> Demand<'_> {
     let second = Duration::from_secs(1);
     let remaining = second;
-    Demand { prompt, zone: "a", tried: &[], remaining, latest_return: second, is_begun: false }
+    Demand {
+        prompt,
+        zone: "a",
+        tried: &[],
+        remaining,
+        latest_return: second,
+        is_begun: false,
+        is_late: false,
+    }
 }
 
 fn random() -> Pcg32 {
--- /dev/null
+++ b/teaselworks_policy/tests/returns.rs
@@ -0,0 +1,60 @@
+//! When callers that were refused come back.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use teaselworks_policy::placement::Returns;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Guards against callers that return together and are refused again.
+#[test]
+fn returns_are_spread_at_a_part_of_the_rate_of_placements() {
+    let mut random = Pcg32::seed_from_u64(1);
+    let mut returns = Returns::default();
+    for step in 0..1_000_u32 {
+        returns.on_placed(SECOND * step / 100);
+    }
+    let now = 10 * SECOND;
+    let times: Vec<Duration> =
+        (0..20).map(|_| returns.schedule(now, 60 * SECOND, &mut random)).collect();
+    assert!(times[0] < SECOND / 2, "{times:?}");
+    assert!(times.windows(2).all(|pair| pair[1] > pair[0] + SECOND / 20), "{times:?}");
+    assert!(times[19] < 3 * SECOND, "{times:?}");
+}
+
+/// Guards against callers with little time that push back the turns of others.
+#[test]
+fn who_cannot_wait_for_a_turn_takes_none() {
+    let mut random = Pcg32::seed_from_u64(1);
+    let mut returns = Returns::default();
+    let patient = |returns: &mut Returns, random: &mut Pcg32| {
+        returns.schedule(Duration::ZERO, 3_600 * SECOND, random)
+    };
+    let first = patient(&mut returns, &mut random);
+    for _ in 0..50 {
+        let hurried = returns.schedule(Duration::ZERO, SECOND, &mut random);
+        assert!(hurried <= SECOND && hurried >= SECOND * 3 / 4);
+    }
+    assert!(patient(&mut returns, &mut random) < 3 * first);
+}
+
+proptest! {
+    /// Guards against a time to return at which the caller has left.
+    #[test]
+    fn no_return_is_later_than_its_caller_waits(
+        latest_ms in prop::collection::vec(0_u64..20_000, 1..50),
+        placed in 0_u32..200,
+    ) {
+        let mut random = Pcg32::seed_from_u64(1);
+        let mut returns = Returns::default();
+        for _ in 0..placed {
+            returns.on_placed(SECOND);
+        }
+        for latest in latest_ms.into_iter().map(Duration::from_millis) {
+            prop_assert!(returns.schedule(SECOND, latest, &mut random) <= latest);
+        }
+    }
+}
