One look at every replica in place of four and a sort

Cause: placing one prompt hashed every replica's identifier twice, sorted them and went over them four times with three reference counts each.

Change: a scan takes the sums, the first four of the key's order and the replicas that may lend a prompt in one pass; the sums of estimates are in closed form; the identifier is hashed once, when a replica is listed; what a pass needs lies together. The order of a key differs from that of the version before. The test of ejection counts the replicas that requests reach, as the list of candidates is gone.

--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -1,14 +1,14 @@
 //! Choosing among the replicas of a service: by reuse within a bound on load, or by load alone.
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
 
-use super::{Prompt, admission, score};
-use crate::upstream::{Foreign, Member, Pool, Upstream, Usual};
+use super::scan::Scan;
+use super::{Prompt, admission};
+use crate::upstream::{Member, Pool, Upstream, Usual};
 use crate::verdict::{Refusal, RefusalReason};
 
 /// Time after which a caller may come back to a service without a usable replica: ejected replicas
@@ -78,7 +78,7 @@
 #[derive(Clone, Debug)]
 pub struct Placement {
     /// The replica.
-    pub upstream: Upstream,
+    pub upstream: Arc<Upstream>,
     /// Why it was chosen.
     pub reason: Reason,
     /// Believed number of requests there.
@@ -119,22 +119,20 @@
     settings: &PlacementSettings,
     random: &mut impl Rng,
 ) -> Result<Placement, Refusal> {
-    let candidates = pool.candidates(now, demand.tried);
-    if candidates.is_empty() {
+    let key = demand.prompt.and_then(Prompt::key);
+    let Some(scan) = Scan::new(pool, now, demand, key, settings.routers) else {
         let retry_after = ABSENCE_RETRY.min(demand.latest_return);
         return Err(Refusal::not_run(RefusalReason::NoReplica, Some(retry_after)));
-    }
-    let usual = usual(&candidates, now, settings.routers);
-    let key = demand.prompt.and_then(Prompt::key);
+    };
     let choice = match key {
-        Some(key) => by_reuse(candidates, now, key, &usual, settings),
-        None => by_load(candidates, now, demand.zone, &usual, random),
+        Some(key) => by_reuse(&scan, now, key, settings),
+        None => by_load(&scan, now, demand.zone, random),
     };
-    if admission::is_refused(pool, choice.member, now, demand, &usual, settings) {
+    if admission::is_refused(pool, choice.member, now, demand, scan.usual(), settings) {
         return Err(Refusal::not_run(RefusalReason::Overloaded, None));
     }
     let mut placement = choice.placement(now);
-    placement.holder = key.and_then(|key| holder(pool, now, key, &placement.upstream.id));
+    placement.holder = scan.holder(choice.member).map(|member| member.upstream.address);
     Ok(placement)
 }
 
@@ -155,40 +153,50 @@
     }
 }
 
-/// Returns the replica, other than the chosen one, that most likely holds the prompt of a key: the
-/// first in the key's order, also where it drains, or the second where that one was chosen.
-///
-/// The second was the first before the chosen one was added. A copy takes less of an engine's time
-/// than reading the prompt again.
-fn holder(pool: &Pool, now: Duration, key: u64, chosen: &str) -> Option<SocketAddr> {
-    let others = pool.members().iter().filter(|member| *member.upstream.id != *chosen);
-    let holders = others
-        .filter(|member| !member.is_blank && !member.is_suspended && member.health.is_usable(now));
-    let best = holders.max_by_key(|member| score(key, &member.upstream.id))?;
-    Some(best.upstream.address)
-}
-
 /// Returns the first replica in the key's order whose load is within the bound, or the least loaded
 /// of the first few where none is: any other would read the prompt anew, for which it has no time.
 fn by_reuse<'a>(
-    mut candidates: Vec<&'a Member>,
+    scan: &Scan<'a>,
     now: Duration,
     key: u64,
-    usual: &Usual,
     settings: &PlacementSettings,
 ) -> Choice<'a> {
-    let total: f64 = candidates.iter().map(|member| member.load.estimate(now, usual)).sum();
-    let mean = total / candidates.len() as f64;
     let excess = (settings.capacity_factor - 1.0).max(0.0) * USED_EXCESS;
-    let bound = mean * (1.0 + excess) + SPARE_REQUESTS;
-    candidates.sort_by_cached_key(|member| Reverse(score(key, &member.upstream.id)));
+    let bound = scan.mean_load() * (1.0 + excess) + SPARE_REQUESTS;
+    let mut looked = within_bound(scan.first(), now, scan.usual(), bound);
+    if matches!(looked, Looked::Beyond) {
+        looked = within_bound(scan.whole_order(key).into_iter(), now, scan.usual(), bound);
+    }
+    if let Looked::Found(choice) = looked {
+        return choice;
+    }
+    let load = |member: &Member| member.load.estimate(now, scan.usual());
+    least_loaded(scan.first().take(FULL_CHOICES), bound, load)
+}
+
+/// What a look along an order of replicas found.
+enum Looked<'a> {
+    /// The first that is within the bound and has a slot.
+    Found(Choice<'a>),
+    /// Too many without a slot.
+    Full,
+    /// None within the bound.
+    Beyond,
+}
+
+fn within_bound<'a>(
+    order: impl Iterator<Item = &'a Member>,
+    now: Duration,
+    usual: &Usual,
+    bound: f64,
+) -> Looked<'a> {
     let mut full = 0;
-    for (rank, member) in candidates.iter().enumerate() {
+    for (rank, member) in order.enumerate() {
         let load = member.load.estimate(now, usual);
         if load >= f64::from(member.upstream.slots) {
             full += 1;
             if full == FULL_CHOICES {
-                break;
+                return Looked::Full;
             }
             continue;
         }
@@ -196,64 +204,31 @@
             continue;
         }
         let reason = if rank == 0 { Reason::Home } else { Reason::Spill };
-        return Choice { member, reason, load, bound };
+        return Looked::Found(Choice { member, reason, load, bound });
     }
-    candidates.truncate(FULL_CHOICES);
-    least_loaded(&candidates, bound, |member| member.load.estimate(now, usual))
+    Looked::Beyond
 }
 
 /// Returns the replica with the least load, those of the same zone before others.
-fn by_load<'a>(
-    mut candidates: Vec<&'a Member>,
-    now: Duration,
-    zone: &str,
-    usual: &Usual,
-    random: &mut impl Rng,
-) -> Choice<'a> {
+fn by_load<'a>(scan: &Scan<'a>, now: Duration, zone: &str, random: &mut impl Rng) -> Choice<'a> {
     // Where replicas are alike, routers must not all choose the first one listed.
-    let offset = random.random_range(0..candidates.len());
-    candidates.rotate_left(offset);
+    let offset = random.random_range(0..scan.count());
+    let order = scan.candidates().skip(offset).chain(scan.candidates().take(offset));
     let cost = |member: &Member| {
         let way = if &*member.upstream.zone == zone { 0.0 } else { ZONE_PENALTY };
         let slots = f64::from(member.upstream.slots.max(1));
-        (member.load.estimate(now, usual) + way) / slots
+        (member.load.estimate(now, scan.usual()) + way) / slots
     };
-    least_loaded(&candidates, f64::INFINITY, cost)
+    least_loaded(order, f64::INFINITY, cost)
 }
 
 fn least_loaded<'a>(
-    candidates: &[&'a Member],
+    order: impl Iterator<Item = &'a Member>,
     bound: f64,
     cost: impl Fn(&Member) -> f64,
 ) -> Choice<'a> {
-    let mut best = candidates[0];
-    let mut least = cost(best);
-    for &member in &candidates[1..] {
-        let cost = cost(member);
-        if cost < least {
-            best = member;
-            least = cost;
-        }
-    }
-    Choice { member: best, reason: Reason::LeastLoad, load: least, bound }
-}
-
-/// Returns the requests that other routers usually have at a replica: the mean of what replicas
-/// report, or else as many for each other router as this one has.
-///
-/// By the guess alone, one own request at a replica that has not reported lately would count for as
-/// many as there are routers.
-fn usual(candidates: &[&Member], now: Duration, routers: u32) -> Usual {
-    let mut reported = 0.0;
-    let mut trusted = 0.0;
-    let mut own = 0.0;
-    for member in candidates {
-        own += f64::from(member.load.own());
-        let Some(Foreign { requests, trust }) = member.load.foreign(now, routers) else { continue };
-        reported += requests * trust;
-        trusted += trust;
-    }
-    let guessed = own * f64::from(routers.saturating_sub(1)) / candidates.len().max(1) as f64;
-    let foreign = if trusted > 0.0 { reported / trusted } else { guessed };
-    Usual { foreign, routers }
+    let costs = order.map(|member| (cost(member), member));
+    let least = costs.reduce(|least, other| if other.0 < least.0 { other } else { least });
+    let (load, member) = least.expect("a scan finds a replica");
+    Choice { member, reason: Reason::LeastLoad, load, bound }
 }
--- a/teaselworks_policy/src/placement/mod.rs
+++ b/teaselworks_policy/src/placement/mod.rs
@@ -5,8 +5,9 @@
 mod prompt;
 mod rendezvous;
 mod returns;
+mod scan;
 
 pub use self::choice::{Demand, Placement, PlacementSettings, Reason, place};
 pub use self::prompt::{Part, Prompt};
-pub use self::rendezvous::score;
+pub use self::rendezvous::{identity, score};
 pub use self::returns::Returns;
--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::placement::Returns;
+use crate::placement::{Returns, identity};
 
 use super::{ConcurrencyLimit, Health, Incarnation, Load, LoadReport, Symptom, Upstream};
 
@@ -14,13 +14,17 @@
 #[derive(Debug)]
 pub struct Member {
     /// The replica as listed.
-    pub upstream: Upstream,
+    pub upstream: Arc<Upstream>,
+    /// Hash of its identifier.
+    pub identity: u64,
     /// Requests at it.
     pub load: Load,
     /// Whether it should get requests.
     pub health: Health,
     /// Running mean of the time that it holds a request.
     pub mean_time: Option<Duration>,
+    /// It leaves soon and takes no new requests.
+    pub is_draining: bool,
     /// Its entry cannot be read at the moment; it takes no new requests.
     pub is_suspended: bool,
     /// It started again and has answered nothing since: it keeps no prompts.
@@ -30,7 +34,9 @@
 impl Member {
     fn new(upstream: Upstream, is_blank: bool) -> Self {
         Self {
-            upstream,
+            identity: identity(&upstream.id),
+            is_draining: upstream.is_draining,
+            upstream: Arc::new(upstream),
             load: Load::default(),
             health: Health::default(),
             mean_time: None,
@@ -77,7 +83,8 @@
             return;
         };
         if member.upstream.incarnation() == upstream.incarnation() {
-            member.upstream = upstream;
+            member.is_draining = upstream.is_draining;
+            member.upstream = Arc::new(upstream);
             member.is_suspended = false;
             return;
         }
@@ -125,7 +132,7 @@
     /// Stops sending requests to a replica.
     pub fn set_draining(&mut self, id: &str) {
         if let Some(member) = self.find_mut(id) {
-            member.upstream.is_draining = true;
+            member.is_draining = true;
         }
     }
 
@@ -139,21 +146,6 @@
         &self.members
     }
 
-    /// Returns the replicas that a request may be sent to, but for those in `tried`.
-    ///
-    /// Where every replica is ejected, all count: one that may answer is better than none.
-    pub fn candidates(&self, now: Duration, tried: &[Arc<str>]) -> Vec<&Member> {
-        let is_open = |member: &&Member| {
-            let is_listed = !member.upstream.is_draining && !member.is_suspended;
-            is_listed && !tried.contains(&member.upstream.id)
-        };
-        let open: Vec<&Member> = self.members.iter().filter(is_open).collect();
-        let usable: Vec<&Member> =
-            open.iter().copied().filter(|member| member.health.is_usable(now)).collect();
-        // At least half of a service stays in use: where more seem ill, the fault lies elsewhere.
-        if usable.len() * 2 >= open.len() { usable } else { open }
-    }
-
     /// Counts a request that is sent to a replica.
     pub fn begin(&mut self, now: Duration, incarnation: &Incarnation) {
         let Some(member) = self.find_incarnation(incarnation) else { return };
--- a/teaselworks_policy/tests/health.rs
+++ b/teaselworks_policy/tests/health.rs
@@ -1,7 +1,11 @@
 //! Ejection and return of upstreams.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use teaselworks_policy::placement::{Demand, PlacementSettings, place};
 use teaselworks_policy::upstream::{Health, Pool, Symptom, Upstream};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -51,6 +55,23 @@
     assert!(ejected);
 }
 
+/// Returns how many replicas requests are sent to.
+fn chosen(pool: &Pool) -> usize {
+    let demand = Demand {
+        prompt: None,
+        zone: "a",
+        tried: &[],
+        remaining: SECOND,
+        latest_return: SECOND,
+        is_begun: false,
+        is_late: false,
+    };
+    let settings = PlacementSettings { capacity_factor: 2.0, routers: 1 };
+    let mut random = Pcg32::seed_from_u64(1);
+    let placed = (0..200).map(|_| place(pool, SECOND, &demand, &settings, &mut random).unwrap());
+    placed.map(|placement| placement.upstream.id.clone()).collect::<BTreeSet<_>>().len()
+}
+
 /// Guards against a service without replicas after a fault on the way to all of them.
 #[test]
 fn most_of_a_service_is_never_ejected() {
@@ -64,7 +85,7 @@
             pool.begin(SECOND, &upstream);
             pool.end(SECOND, &upstream, Some(Symptom::Broken), Duration::ZERO);
         }
-        let left = pool.candidates(SECOND, &[]).len();
+        let left = chosen(&pool);
         assert_eq!(left, if ejected <= 2 { 4 - ejected } else { 4 }, "{ejected} ejected");
     }
 }
--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use teaselworks_policy::placement::{
-    Demand, Part, PlacementSettings, Prompt, Reason, place, score,
+    Demand, Part, PlacementSettings, Prompt, Reason, identity, place, score,
 };
 use teaselworks_policy::upstream::{Incarnation, LoadReport, Pool, Symptom, Upstream};
 use teaselworks_policy::verdict::RefusalReason;
@@ -172,7 +172,7 @@
         let placed = place(&pool, NOW, &demand, &SETTINGS, &mut random()).unwrap();
         let mut order: Vec<&str> =
             pool.members().iter().map(|member| &*member.upstream.id).collect();
-        order.sort_by_key(|id| std::cmp::Reverse(score(key, id)));
+        order.sort_by_key(|id| std::cmp::Reverse(score(key, identity(id))));
         assert_ne!(&*placed.upstream.id, order[3]);
     }
 }
@@ -223,7 +223,7 @@
 fn restarted(pool: &Pool, id: &str) -> Upstream {
     let before = pool.members().iter().find(|member| *member.upstream.id == *id).unwrap();
     let started = Some(SystemTime::UNIX_EPOCH + Duration::from_secs(5));
-    Upstream { started, ..before.upstream.clone() }
+    Upstream { started, ..(*before.upstream).clone() }
 }
 
 /// Guards against load, times and failures of a replica's earlier start that count for a later one.
@@ -289,7 +289,7 @@
         let other = place(&pool);
         assert_ne!(other.upstream.id, home.id);
         assert_ne!(other.holder, Some(home.address));
-        pool.put(home.clone());
+        pool.put((*home).clone());
         assert_eq!(place(&pool).upstream.id, home.id);
     }
 }
