A key spills over full replicas while others have room

Cause: a look along a key's order ended at its second full replica, also where the rest of the service had room, so that requests for a hot key were refused while places were free.

Change: the least loaded of the first full ones is taken where its wait is short; else the key spills to the first replica with room, however far, unless nearly all slots of the service are taken.

Seen red: placement::a_hot_key_spills_over_full_replicas_while_others_have_room.

--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -19,7 +19,8 @@
 const USED_EXCESS: f64 = 0.6;
 /// Requests that a replica may hold beyond the bound, so that small loads are not spread for it.
 const SPARE_REQUESTS: f64 = 2.0;
-/// Replicas of a key's order that are considered where all are full.
+/// Replicas of a key's order without a slot after which the least loaded of them is taken, if its
+/// wait is short: any other would read the prompt anew.
 const FULL_CHOICES: usize = 2;
 /// Time that a request to another zone must win to be worth its way, as a part of a replica's load.
 const ZONE_PENALTY: f64 = 0.5;
@@ -124,12 +125,13 @@
         let retry_after = ABSENCE_RETRY.min(demand.latest_return);
         return Err(Refusal::not_run(RefusalReason::NoReplica, Some(retry_after)));
     };
-    let choice = match key {
+    let mut choice = match key {
         Some(key) => by_reuse(&scan, now, key, settings),
         None => by_load(&scan, now, demand.zone, random),
     };
     if admission::is_refused(pool, choice.member, now, demand, scan.usual(), settings) {
-        return Err(Refusal::not_run(RefusalReason::Overloaded, None));
+        let wide = key.and_then(|key| spill(&scan, now, key, settings));
+        choice = wide.ok_or(Refusal::not_run(RefusalReason::Overloaded, None))?;
     }
     let mut placement = choice.placement(now);
     placement.holder = scan.holder(choice.member).map(|member| member.upstream.address);
@@ -154,24 +156,49 @@
 }
 
 /// Returns the first replica in the key's order whose load is within the bound, or the least loaded
-/// of the first few where none is: any other would read the prompt anew, for which it has no time.
+/// of the first few where none is.
 fn by_reuse<'a>(
     scan: &Scan<'a>,
     now: Duration,
     key: u64,
     settings: &PlacementSettings,
 ) -> Choice<'a> {
-    let excess = (settings.capacity_factor - 1.0).max(0.0) * USED_EXCESS;
-    let bound = scan.mean_load() * (1.0 + excess) + SPARE_REQUESTS;
-    let mut looked = within_bound(scan.first(), now, scan.usual(), bound);
+    let look =
+        Look { now, usual: scan.usual(), bound: bound(scan, settings), most_full: FULL_CHOICES };
+    let mut looked = look.along(scan.first());
     if matches!(looked, Looked::Beyond) {
-        looked = within_bound(scan.whole_order(key).into_iter(), now, scan.usual(), bound);
+        looked = look.along(scan.whole_order(key).into_iter());
     }
     if let Looked::Found(choice) = looked {
         return choice;
     }
     let load = |member: &Member| member.load.estimate(now, scan.usual());
-    least_loaded(scan.first().take(FULL_CHOICES), bound, load)
+    least_loaded(scan.first().take(FULL_CHOICES), look.bound, load)
+}
+
+/// Returns the first replica in the key's order that has room, however far, while others than the
+/// first few have any.
+fn spill<'a>(
+    scan: &Scan<'a>,
+    now: Duration,
+    key: u64,
+    settings: &PlacementSettings,
+) -> Option<Choice<'a>> {
+    if scan.is_crowded() {
+        return None;
+    }
+    let bound = bound(scan, settings);
+    let look = Look { now, usual: scan.usual(), bound, most_full: usize::MAX };
+    match look.along(scan.whole_order(key).into_iter()) {
+        Looked::Found(choice) => Some(choice),
+        Looked::Full | Looked::Beyond => None,
+    }
+}
+
+/// Returns the load that no replica should exceed.
+fn bound(scan: &Scan<'_>, settings: &PlacementSettings) -> f64 {
+    let excess = (settings.capacity_factor - 1.0).max(0.0) * USED_EXCESS;
+    scan.mean_load() * (1.0 + excess) + SPARE_REQUESTS
 }
 
 /// What a look along an order of replicas found.
@@ -184,29 +211,36 @@
     Beyond,
 }
 
-fn within_bound<'a>(
-    order: impl Iterator<Item = &'a Member>,
+/// What a look along an order goes by.
+struct Look<'s> {
     now: Duration,
-    usual: &Usual,
+    usual: &'s Usual,
     bound: f64,
-) -> Looked<'a> {
-    let mut full = 0;
-    for (rank, member) in order.enumerate() {
-        let load = member.load.estimate(now, usual);
-        if load >= f64::from(member.upstream.slots) {
-            full += 1;
-            if full == FULL_CHOICES {
-                return Looked::Full;
+    /// Replicas without a slot after which it ends.
+    most_full: usize,
+}
+
+impl Look<'_> {
+    fn along<'a>(&self, order: impl Iterator<Item = &'a Member>) -> Looked<'a> {
+        let bound = self.bound;
+        let mut full = 0;
+        for (rank, member) in order.enumerate() {
+            let load = member.load.estimate(self.now, self.usual);
+            if load >= f64::from(member.upstream.slots) {
+                full += 1;
+                if full == self.most_full {
+                    return Looked::Full;
+                }
+                continue;
             }
-            continue;
-        }
-        if load + 1.0 > bound {
-            continue;
+            if load + 1.0 > bound {
+                continue;
+            }
+            let reason = if rank == 0 { Reason::Home } else { Reason::Spill };
+            return Looked::Found(Choice { member, reason, load, bound });
         }
-        let reason = if rank == 0 { Reason::Home } else { Reason::Spill };
-        return Looked::Found(Choice { member, reason, load, bound });
+        Looked::Beyond
     }
-    Looked::Beyond
 }
 
 /// Returns the replica with the least load, those of the same zone before others.
--- a/teaselworks_policy/src/placement/scan.rs
+++ b/teaselworks_policy/src/placement/scan.rs
@@ -9,6 +9,9 @@
 /// order is made.
 const FIRST: usize = 4;
 
+/// Part of a service's slots beyond which nearly all are taken.
+const CROWDED: f64 = 0.9;
+
 /// The members with the highest scores, in order.
 struct Top<'a, const N: usize> {
     scores: [u64; N],
@@ -51,6 +54,7 @@
     known: f64,
     /// Replicas of whose other requests nothing is known, with parts.
     unknown: f64,
+    slots: u32,
     usual: Usual,
     first: Top<'a, FIRST>,
     /// Members that may lend what they keep of a prompt.
@@ -77,6 +81,7 @@
             count: 0,
             known: 0.0,
             unknown: 0.0,
+            slots: 0,
             usual: Usual { foreign: 0.0, routers },
             first: Top::new(),
             lenders: Top::new(),
@@ -94,7 +99,7 @@
     /// Takes the sums over all candidates; returns how many would be without the ejected ones.
     fn look(&mut self, routers: u32) -> usize {
         let (mut own, mut reported, mut trusted) = (0_u32, 0.0, 0.0);
-        let (mut open_count, mut count) = (0, 0);
+        let (mut open_count, mut count, mut slots) = (0, 0, 0_u32);
         for member in self.pool.members() {
             let score = self.key.map_or(0, |key| score(key, member.identity));
             let is_usable = member.health.is_usable(self.now);
@@ -110,6 +115,7 @@
             }
             count += 1;
             own += member.load.own();
+            slots = slots.saturating_add(member.upstream.slots);
             if let Some(Foreign { requests, trust }) = member.load.foreign(self.now, routers) {
                 reported += requests * trust;
                 trusted += trust;
@@ -118,6 +124,7 @@
         }
         let own = f64::from(own);
         self.count = count;
+        self.slots = slots;
         self.known = own + reported;
         self.unknown = count as f64 - trusted;
         // As many for each other router as this one has, where no replica says it. By the guess
@@ -142,6 +149,12 @@
         (self.known + self.unknown * self.usual.foreign) / self.count as f64
     }
 
+    /// Tells whether nearly all slots are taken.
+    pub(super) fn is_crowded(&self) -> bool {
+        let total = self.known + self.unknown * self.usual.foreign;
+        total >= CROWDED * f64::from(self.slots)
+    }
+
     /// Returns the number of replicas that the request may be sent to.
     pub(super) fn count(&self) -> usize {
         self.count
--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -159,6 +159,27 @@
     assert!(place(&pool, NOW, &begun, &SETTINGS, &mut random()).is_ok(), "it has begun");
 }
 
+/// Guards against a refusal while places are free: a hot key has filled the first of its order.
+#[test]
+fn a_hot_key_spills_over_full_replicas_while_others_have_room() {
+    for key in 10..60 {
+        let mut pool = pool(8, 4);
+        pool.set_target(Some(Duration::from_millis(300)));
+        let mut order: Vec<String> = (0..8).map(|number| format!("i-{number}")).collect();
+        order.sort_by_key(|id| std::cmp::Reverse(score(key, identity(id))));
+        for (rank, id) in order.iter().enumerate() {
+            let upstream = incarnation(&pool, id);
+            pool.begin(NOW, &upstream);
+            pool.end(NOW, &upstream, Some(Symptom::Answered), Duration::from_millis(900));
+            let running = if rank < 5 { 4 } else { 1 };
+            pool.report(NOW, &upstream, LoadReport { running, waiting: 0 });
+        }
+        let prompt = prompt(key);
+        let placed = place(&pool, NOW, &demand(Some(&prompt)), &SETTINGS, &mut random()).unwrap();
+        assert_eq!((&*placed.upstream.id, placed.reason), (&*order[5], Reason::Spill));
+    }
+}
+
 /// Guards against a full service whose replicas each read every prompt anew: the least loaded of
 /// all is rarely one that holds the prompt.
 #[test]
