A service without reports is kept to its limit also for prompts

Cause: found while reading the diff: where a service reports no load and its limit is reached, a request with a prompt went on to a farther replica, since the refusal was taken for a full home.

Change: the limit is asked before any replica is chosen; the look beyond a full home follows only a wait that is too long. The sum of loads is made in one place.

Seen red: placement::a_saturated_service_without_reports_gets_no_prompt was written with the change and not seen red. No figure: engines of the present deployments report their load.

--- a/teaselworks_policy/src/placement/admission.rs
+++ b/teaselworks_policy/src/placement/admission.rs
@@ -16,8 +16,8 @@
 /// in time go before them, so that a service is whole again soon after its load has passed.
 const LATE_SLOTS: f64 = 0.95;
 
-/// Tells whether a request should be refused, since it would not be answered in time.
-pub(super) fn is_refused(
+/// Tells whether a replica would not answer a request in time.
+pub(super) fn is_too_late(
     pool: &Pool,
     member: &Member,
     now: Duration,
@@ -28,9 +28,6 @@
     if demand.is_begun {
         return false;
     }
-    if pool.is_saturated() {
-        return true;
-    }
     if demand.is_late && is_known(member, now, settings) {
         let slots = f64::from(member.upstream.slots);
         if member.load.estimate(now, usual) > LATE_SLOTS * slots {
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -125,13 +125,16 @@
         let retry_after = ABSENCE_RETRY.min(demand.latest_return);
         return Err(Refusal::not_run(RefusalReason::NoReplica, Some(retry_after)));
     };
+    let overloaded = Refusal::not_run(RefusalReason::Overloaded, None);
+    if pool.is_saturated() && !demand.is_begun {
+        return Err(overloaded);
+    }
     let mut choice = match key {
         Some(key) => by_reuse(&scan, now, key, settings),
         None => by_load(&scan, now, demand.zone, random),
     };
-    if admission::is_refused(pool, choice.member, now, demand, scan.usual(), settings) {
-        let wide = key.and_then(|key| spill(&scan, now, key, settings));
-        choice = wide.ok_or(Refusal::not_run(RefusalReason::Overloaded, None))?;
+    if admission::is_too_late(pool, choice.member, now, demand, scan.usual(), settings) {
+        choice = key.and_then(|key| spill(&scan, now, key, settings)).ok_or(overloaded)?;
     }
     let mut placement = choice.placement(now);
     placement.holder = scan.holder(choice.member).map(|member| member.upstream.address);
--- a/teaselworks_policy/src/placement/scan.rs
+++ b/teaselworks_policy/src/placement/scan.rs
@@ -1,5 +1,7 @@
 //! One look at every replica of a service: what they hold together, and the first few of a key.
 
+use std::cmp::Reverse;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::{Demand, score};
@@ -46,7 +48,7 @@
 pub(super) struct Scan<'a> {
     pool: &'a Pool,
     now: Duration,
-    tried: &'a [std::sync::Arc<str>],
+    tried: &'a [Arc<str>],
     key: Option<u64>,
     only_usable: bool,
     count: usize,
@@ -96,7 +98,7 @@
         (scan.count > 0).then_some(scan)
     }
 
-    /// Takes the sums over all candidates; returns how many would be without the ejected ones.
+    /// Takes the sums over all candidates; returns how many there would be with the ejected ones.
     fn look(&mut self, routers: u32) -> usize {
         let (mut own, mut reported, mut trusted) = (0_u32, 0.0, 0.0);
         let (mut open_count, mut count, mut slots) = (0, 0, 0_u32);
@@ -144,15 +146,18 @@
         &self.usual
     }
 
+    fn total_load(&self) -> f64 {
+        self.known + self.unknown * self.usual.foreign
+    }
+
     /// Returns the mean number of requests at a replica.
     pub(super) fn mean_load(&self) -> f64 {
-        (self.known + self.unknown * self.usual.foreign) / self.count as f64
+        self.total_load() / self.count as f64
     }
 
     /// Tells whether nearly all slots are taken.
     pub(super) fn is_crowded(&self) -> bool {
-        let total = self.known + self.unknown * self.usual.foreign;
-        total >= CROWDED * f64::from(self.slots)
+        self.total_load() >= CROWDED * f64::from(self.slots)
     }
 
     /// Returns the number of replicas that the request may be sent to.
@@ -173,7 +178,7 @@
     /// Returns all replicas in the key's order.
     pub(super) fn whole_order(&self, key: u64) -> Vec<&'a Member> {
         let mut order: Vec<&Member> = self.candidates().collect();
-        order.sort_by_cached_key(|member| std::cmp::Reverse(score(key, member.identity)));
+        order.sort_by_cached_key(|member| Reverse(score(key, member.identity)));
         order
     }
 
@@ -187,7 +192,7 @@
     }
 }
 
-fn is_open(member: &Member, tried: &[std::sync::Arc<str>]) -> bool {
+fn is_open(member: &Member, tried: &[Arc<str>]) -> bool {
     let is_listed = !member.is_draining && !member.is_suspended;
     is_listed && (tried.is_empty() || !tried.contains(&member.upstream.id))
 }
--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -159,6 +159,23 @@
     assert!(place(&pool, NOW, &begun, &SETTINGS, &mut random()).is_ok(), "it has begun");
 }
 
+/// Guards against prompts that go to a service without reports beyond its limit.
+#[test]
+fn a_saturated_service_without_reports_gets_no_prompt() {
+    let mut pool = pool(4, 6);
+    pool.set_target(Some(Duration::from_millis(300)));
+    let upstream = incarnation(&pool, "i-0");
+    for _ in 0..30 {
+        pool.begin(NOW, &upstream);
+        pool.first_byte(NOW, Duration::from_secs(2), 7);
+    }
+    let prompt = prompt(10);
+    let place = |demand: &Demand<'_>| place(&pool, NOW, demand, &SETTINGS, &mut random());
+    let demand = demand(Some(&prompt));
+    assert_eq!(place(&demand).unwrap_err().reason, RefusalReason::Overloaded);
+    assert!(place(&Demand { is_begun: true, ..demand }).is_ok());
+}
+
 /// Guards against a refusal while places are free: a hot key has filled the first of its order.
 #[test]
 fn a_hot_key_spills_over_full_replicas_while_others_have_room() {
