--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -14,8 +14,8 @@
 /// Time after which a caller may come back to a service without a usable replica: ejected replicas
 /// are tried again after a second, new ones are listed within one.
 const ABSENCE_RETRY: Duration = Duration::from_millis(1_000);
-/// Part of the allowed excess over the mean load that is used, since loads are estimates that are
-/// some hundred milliseconds old when other routers act on them too.
+/// Part of the allowed excess over the mean load that is used: other routers act on the same loads
+/// before any of them is reported again.
 const USED_EXCESS: f64 = 0.6;
 /// Requests that a replica may hold beyond the bound, so that small loads are not spread for it.
 const SPARE_REQUESTS: f64 = 2.0;
--- a/teaselworks_policy/src/upstream/health.rs
+++ b/teaselworks_policy/src/upstream/health.rs
@@ -9,10 +9,9 @@
 const FIRST_EJECTION: Duration = Duration::from_secs(1);
 /// Longest time without requests: an upstream that is back is found within it.
 const LONGEST_EJECTION: Duration = Duration::from_secs(8);
-/// Weight of the latest answer in the running share of failed answers: about the last ten count.
+/// Weight of the latest answer in the running share of failed answers.
 const LATEST_WEIGHT: f64 = 0.1;
-/// Share of failed answers, beyond the mean of the service, that ejects an upstream. A replica that
-/// fails one request in three more than its peers costs more than its absence.
+/// Share of failed answers, beyond the mean of the service, that ejects an upstream.
 const EXCESS_FAILURES: f64 = 0.3;
 
 /// What became of a request at an upstream.
--- a/teaselworks_policy/src/upstream/load.rs
+++ b/teaselworks_policy/src/upstream/load.rs
@@ -3,10 +3,9 @@
 use std::time::Duration;
 
 /// Age at which a report says nothing any more, for each router of the fleet: the more routers there
-/// are, the more rarely one hears of a replica, and an older report is better than none, since what
-/// makes a replica busier than others, the chats that belong there, lasts for minutes.
+/// are, the more rarely one hears of a replica, and an older report is better than none.
 const LIFETIME_PER_ROUTER: Duration = Duration::from_millis(250);
-/// Shortest such age: requests end within a second or two.
+/// Shortest such age.
 const SHORTEST_LIFETIME: Duration = Duration::from_secs(2);
 /// Longest such age.
 const LONGEST_LIFETIME: Duration = Duration::from_secs(10);
--- a/teaselworks_standin/src/bin/cost.rs
+++ b/teaselworks_standin/src/bin/cost.rs
@@ -1,12 +1,14 @@
 //! Measures what one router process costs: processor time of a small request and of a relayed event,
-//! memory when idle and with a thousand open streams. Run it with `--release`.
+//! memory when idle, with many workspaces and replicas, and with a thousand open streams. Run it with
+//! `--release`.
 
 use std::error::Error;
 use std::process::ExitCode;
 use std::time::Duration;
 
+use serde_json::json;
 use teaselworks_standin::caller::{Call, Connection};
-use teaselworks_standin::configuration::{HOST, KEY};
+use teaselworks_standin::configuration::{CHAT, HOST, KEY, entry};
 use teaselworks_standin::fleet::Fleet;
 use teaselworks_standin::program::main_of;
 use teaselworks_standin::router::Program;
@@ -19,6 +21,9 @@
 const EVENTS: u32 = 1_000;
 /// Pause between events: shorter, and several would be passed on at once.
 const GAP: Duration = Duration::from_millis(1);
+/// Workspaces, each with two keys, and replicas for the measure of what is held of the store.
+const WORKSPACES: usize = 18_000;
+const REPLICAS: usize = 800;
 /// Streams that are open at once for the measure of memory.
 const OPEN_STREAMS: u32 = 1_000;
 
@@ -27,7 +32,9 @@
 }
 
 async fn run() -> Result<(), Box<dyn Error>> {
-    let fleet = Fleet::start(Program::binary(std::env::current_exe()?), 1).await?;
+    let program = Program::binary(std::env::current_exe()?);
+    measure_state(&program).await?;
+    let fleet = Fleet::start(program, 1).await?;
     let router = &fleet.routers[0];
     let process = router.id().ok_or("the router does not run")?;
     tokio::time::sleep(Duration::from_secs(1)).await;
@@ -75,6 +82,32 @@
     Ok(())
 }
 
+/// Measures the memory of what a router holds of the store.
+async fn measure_state(program: &Program) -> Result<(), Box<dyn Error>> {
+    for (workspaces, replicas) in [(0, 0), (WORKSPACES / 3, 0), (WORKSPACES, 0), (0, REPLICAS)] {
+        let mut fleet = Fleet::start(program.clone(), 1).await?;
+        for number in 0..replicas {
+            let address = ([127, 0, 0, 1], 9).into();
+            let entry = entry(&fleet.engines[0], address, CHAT, "ready");
+            fleet.store.put_json(&format!("servers/more-{number}"), &entry);
+        }
+        let tenants = fleet.plan.value["tenants"].as_array_mut().ok_or("no list of workspaces")?;
+        for number in 0..workspaces {
+            let keys = [format!("key-{number:016x}-1"), format!("key-{number:016x}-2")];
+            tenants.push(json!({ "name": format!("workspace-{number}"), "api_keys": keys }));
+        }
+        fleet.plan.next_version();
+        fleet.publish();
+        fleet.routers[0].logged("configuration_in_force", 2).await?;
+        fleet.routers[0].logged("upstream_serving", 4 + replicas).await?;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let process = fleet.routers[0].id().ok_or("the router does not run")?;
+        let memory_mb = memory_mb(process)?;
+        println!("memory with {workspaces} workspaces, {replicas} replicas: {memory_mb:.1} MB");
+    }
+    Ok(())
+}
+
 fn request(method: &str, target: &str, id: &str) -> Call {
     Call::new(method, HOST, target, id).key(KEY).with("X-Deadline-Ms", "60000")
 }
