--- a/teaselworks_standin/src/router.rs
+++ b/teaselworks_standin/src/router.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -52,6 +53,8 @@
     folder: TempDir,
     child: Option<Child>,
     log: Arc<Mutex<Vec<String>>>,
+    /// The log is read.
+    is_reading: Arc<AtomicBool>,
     ports: Ports,
 }
 
@@ -85,8 +88,15 @@
             "log": { "format": "json", "level": "debug" },
         });
         let folder = tempfile::Builder::new().prefix("teaselworks-").tempdir()?;
-        let mut router =
-            Self { program, settings, folder, child: None, log: Arc::default(), ports };
+        let mut router = Self {
+            program,
+            settings,
+            folder,
+            child: None,
+            log: Arc::default(),
+            is_reading: Arc::new(AtomicBool::new(true)),
+            ports,
+        };
         router.spawn()?;
         Ok(router)
     }
@@ -103,8 +113,12 @@
             .spawn()?;
         let stdout = child.stdout.take().expect("standard output is piped");
         let log = self.log.clone();
+        let is_reading = self.is_reading.clone();
         std::thread::spawn(move || {
             for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                while !is_reading.load(Ordering::Relaxed) {
+                    std::thread::sleep(POLL_INTERVAL);
+                }
                 log.lock().expect("lock is never poisoned").push(line);
             }
         });
@@ -146,6 +160,11 @@
         self.log.lock().expect("lock is never poisoned").clone()
     }
 
+    /// Reads no more of the log, so that the pipe fills up, or reads on.
+    pub fn set_reading(&self, is_reading: bool) {
+        self.is_reading.store(is_reading, Ordering::Relaxed);
+    }
+
     /// Returns the logged lines of an event, decoded.
     pub fn events(&self, name: &str) -> Vec<Value> {
         let lines = self.log();
