Callers that hold half of the descriptors get their connections closed

The one router of a zone had 3,650 descriptors in use. Callers that were refused kept their connections for the idle timeout, and new ones waited to be accepted until others were closed: a request sent at 15.77 s was read at 20.31 s.

Change: an answer closes its connection where callers hold more than half of what they may.

--- a/teaselworks/src/relay/caller.rs
+++ b/teaselworks/src/relay/caller.rs
@@ -59,12 +59,19 @@
 #[derive(Clone)]
 struct Counted {
     open: OpenConnections,
+    most: usize,
     place: Arc<Mutex<Option<OpenConnection>>>,
 }
 
 impl Counted {
-    fn new(open: &OpenConnections) -> Self {
-        Self { open: open.clone(), place: Arc::default() }
+    fn new(open: &OpenConnections, most: usize) -> Self {
+        Self { open: open.clone(), most, place: Arc::default() }
+    }
+
+    /// Tells whether callers hold so many connections that none should stay open idle: those that
+    /// wait to be accepted would be read after their callers have left.
+    fn is_scarce(&self) -> bool {
+        self.open.count() * 2 > self.most
     }
 
     fn begin(&self) {
@@ -102,7 +109,7 @@
             }
             let stream = net::accept(&listener).await;
             let shared = self.shared.clone();
-            let count = Counted::new(&self.open);
+            let count = Counted::new(&self.open, self.most);
             // One that comes while the router finishes is not waited for until it asks something.
             if shared.shutdown.phase() < ShutdownPhase::Draining {
                 count.begin();
@@ -151,7 +158,8 @@
             let guard = InRequest::begin(&shared, activity);
             let mut response = serve(shared.clone(), request).await;
             // Told in each answer of a router that stops, so that callers come back elsewhere.
-            if shared.shutdown.phase() > ShutdownPhase::Running {
+            let is_stopping = shared.shutdown.phase() > ShutdownPhase::Running;
+            if is_stopping || count.is_scarce() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
