A full service's refusal is tested with its time to return

Cause: when places to return moved from placing to a schedule, the test of the refusal lost its check of Retry-After; the schedule's own tests do not show that a refusal carries it. Change: the check is back, at the fleet, as strict as before (above zero, at most what the caller can wait). Ruled out: a whole process, which adds nothing to it. Not seen red.

--- a/teaselworks_policy/tests/returns.rs
+++ b/teaselworks_policy/tests/returns.rs
@@ -5,7 +5,12 @@
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
-use teaselworks_policy::placement::Returns;
+use teaselworks_policy::fleet::{Fleet, FleetSettings};
+use teaselworks_policy::membership::Membership;
+use teaselworks_policy::placement::{Demand, Returns};
+use teaselworks_policy::retry::BudgetSettings;
+use teaselworks_policy::upstream::{Change, LoadReport, Symptom, Upstream};
+use teaselworks_policy::verdict::RefusalReason;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -41,6 +46,34 @@
     assert!(patient(&mut returns, &mut random) < 3 * first);
 }
 
+/// Guards against a refusal of a full service that does not tell when to come back.
+#[test]
+fn a_full_service_tells_when_to_come_back() {
+    let budget = BudgetSettings { ratio: 0.2, slack: 10.0, window: 10 * SECOND };
+    let membership = Membership::new("router".into(), Vec::new());
+    let mut fleet = Fleet::new(FleetSettings { load_factor: 2.0, budget }, membership, 1);
+    let upstream = Upstream::example("i-1", "service");
+    fleet.apply(&Change::Serving(upstream.clone()));
+    let demand = Demand {
+        prompt: None,
+        zone: "a",
+        tried: &[],
+        remaining: 2 * SECOND,
+        latest_return: SECOND,
+        is_begun: false,
+        is_late: false,
+    };
+    assert!(fleet.place(SECOND, "service", &demand).is_ok());
+    let incarnation = upstream.incarnation();
+    fleet.end(2 * SECOND, "service", &incarnation, Some(Symptom::Answered), SECOND);
+    let report = LoadReport { running: 8, waiting: 30 };
+    fleet.report(2 * SECOND, "service", &incarnation, report);
+    let refusal = fleet.place(2 * SECOND, "service", &demand).unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::Overloaded);
+    let retry_after = refusal.retry_after.unwrap();
+    assert!(retry_after > Duration::ZERO && retry_after <= SECOND, "{retry_after:?}");
+}
+
 proptest! {
     /// Guards against a time to return at which the caller has left.
     #[test]
