Requests in progress are limited also where replicas report; late callers are told apart

By the log (first bytes are logged now) placed requests waited 0.5 to 0.7 s (median) for their first byte: all routers act on the same report, half a second old, and send until it shows that a replica is full. Second, half of the callers of calm seconds counted as late: they differ in patience by 15 in 100, and were compared with the most patient.

Change: a limit on a router's requests in progress (additive increase, multiplicative decrease on the time to the first byte) counts for every service, for those that report only while nine tenths of the slots are taken, and leaves out what waits at ejected replicas. Late callers are refused then; the shortest deadline stated while nobody was refused tells them apart. Refusals name which of the three bounds it was.

What is lost in the first two seconds after engines go dark remains: every router finds each dark engine by itself.

--- a/teaselworks/src/relay/outcome.rs
+++ b/teaselworks/src/relay/outcome.rs
@@ -16,6 +16,7 @@
     id: Arc<str>,
     route: Option<(Arc<str>, Kind)>,
     arrived: Duration,
+    first_byte_after: Option<Duration>,
     has_ended: bool,
 }
 
@@ -24,7 +25,7 @@
     pub(super) fn begin(shared: Arc<Shared>, id: Arc<str>) -> Self {
         shared.metrics.add_in_progress(1);
         let arrived = shared.now();
-        Self { shared, id, route: None, arrived, has_ended: false }
+        Self { shared, id, route: None, arrived, first_byte_after: None, has_ended: false }
     }
 
     /// Notes the route that the request takes.
@@ -33,14 +34,17 @@
     }
 
     /// Records that the head of the answer is there.
-    pub(super) fn first_byte(&self) {
-        self.shared.metrics.record_first_byte(self.elapsed());
+    pub(super) fn first_byte(&mut self) {
+        let elapsed = self.elapsed();
+        self.first_byte_after = Some(elapsed);
+        self.shared.metrics.record_first_byte(elapsed);
     }
 
     /// Ends the request with an upstream's answer.
     pub(super) fn answered(mut self, status: u16, upstream: &str, attempts: u32) {
         self.has_ended = true;
         let elapsed = self.elapsed();
+        let first_byte = self.first_byte_after.unwrap_or(elapsed);
         if let Some((route, kind)) = &self.route {
             self.shared.metrics.add_answer(*kind, elapsed);
             self.shared.fleet().on_answered(route, elapsed);
@@ -51,6 +55,7 @@
             event::number("status", status.into()),
             event::text("upstream", &upstream),
             event::number("attempts", attempts.into()),
+            event::number("first_byte_ms", first_byte.as_millis() as u64),
             event::number("elapsed_ms", elapsed.as_millis() as u64),
         ]);
     }
--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -28,7 +28,7 @@
     pub(super) service: Arc<str>,
     pub(super) workspace: Option<Arc<Workspace>>,
     pub(super) deadline: Deadline,
-    /// The caller has waited for longer than it aims at.
+    /// The caller was refused before and came back.
     pub(super) is_late: bool,
     pub(super) method: Method,
     pub(super) target: Uri,
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -102,7 +102,7 @@
 }
 
 impl Serving {
-    async fn run(mut self, progress: Progress) -> Response<Outgoing> {
+    async fn run(mut self, mut progress: Progress) -> Response<Outgoing> {
         // The last failure that an upstream answered itself; it is passed on where nothing better
         // follows.
         let mut failed: Option<Whole> = None;
@@ -133,7 +133,7 @@
                     Err(_) => running.await,
                 }
             };
-            let (failure, whole) = match self.receive(answer, in_flight, &progress).await {
+            let (failure, whole) = match self.receive(answer, in_flight, &mut progress).await {
                 Received::Whole(whole) => return self.pass_on(progress, whole),
                 Received::Begun(streaming) => return stream::respond(*streaming, self, progress),
                 Received::Failed(failure, whole) => (failure, whole),
@@ -150,7 +150,7 @@
         &mut self,
         answer: Result<Answer, Failure>,
         mut in_flight: InFlight,
-        progress: &Progress,
+        progress: &mut Progress,
     ) -> Received {
         let answer = match answer {
             Ok(answer) => answer,
--- a/teaselworks/src/relay/serving.rs
+++ b/teaselworks/src/relay/serving.rs
@@ -67,6 +67,7 @@
                 &placement.holder.map(|address| address.to_string()).as_deref().unwrap_or(""),
             ),
             event::number("attempt", u64::from(self.attempts()) + 1),
+            event::text("is_late", &self.prepared.is_late),
             event::number("configuration", self.configuration.version),
             event::number("remaining_ms", deadline.remaining(now).as_millis() as u64),
             event::text("after_event", &resumed_after.unwrap_or("")),
--- a/teaselworks_model/src/caller.rs
+++ b/teaselworks_model/src/caller.rs
@@ -19,14 +19,11 @@
     pub(crate) asked_at: Duration,
     pub(crate) attempts: u32,
     pub(crate) first_at: Option<Duration>,
+    /// When the caller leaves.
+    pub(crate) deadline: Duration,
 }
 
 impl Call {
-    /// Returns when the caller leaves.
-    pub(crate) fn deadline(&self, load: &Load) -> Duration {
-        self.asked_at + milliseconds(load.kinds[self.kind].deadline_ms)
-    }
-
     /// Tells whether the caller asks again after a refusal.
     pub(crate) fn returns(&self) -> bool {
         self.attempts <= RETRIES
@@ -58,7 +55,9 @@
 
 fn call(number: usize, kind: &Kind, now: Duration, random: &mut Pcg32) -> Call {
     let part = random.random_range(0..kind.shared_parts.max(1));
+    let patience = 1.0 - kind.deadline_spread * random.random_range(0.0..1.0);
     Call {
+        deadline: now + milliseconds(kind.deadline_ms * patience),
         kind: number,
         key: (number as u64 + 1) * 1_000_000 + part,
         answer_tokens: f64::from(kind.answer_tokens) * random.random_range(0.1..1.9),
--- a/teaselworks_model/src/load.rs
+++ b/teaselworks_model/src/load.rs
@@ -71,8 +71,11 @@
     pub answer_tokens: u32,
     /// Time to the first token that callers aim at.
     pub aim_ms: f64,
-    /// Time for which callers wait.
+    /// Longest time for which callers wait.
     pub deadline_ms: f64,
+    /// Part of it by which the least patient callers wait less.
+    #[serde(default)]
+    pub deadline_spread: f64,
 }
 
 /// A time in which callers press.
--- a/teaselworks_model/src/router.rs
+++ b/teaselworks_model/src/router.rs
@@ -80,7 +80,7 @@
     is_late: bool,
 ) -> Result<Placement, Refusal> {
     let kind = &load.kinds[call.kind];
-    let remaining = call.deadline(load).saturating_sub(now);
+    let remaining = call.deadline.saturating_sub(now);
     let deadline = Deadline::new(now, Some(remaining), milliseconds(kind.deadline_ms));
     let parts = [(1, 1), (call.key, kind.shared_tokens), (u64::MAX, kind.own_tokens)];
     let prompt = Prompt {
--- a/teaselworks_model/src/run.rs
+++ b/teaselworks_model/src/run.rs
@@ -155,7 +155,7 @@
                 self.calls[call].attempts += 1;
                 let router = self.random.random_range(0..self.routers.len());
                 let kind = self.calls[call].kind;
-                let left = self.calls[call].deadline(self.load).saturating_sub(self.now);
+                let left = self.calls[call].deadline.saturating_sub(self.now);
                 let fleet = &mut self.routers[router];
                 let route = &self.routes[kind];
                 let is_late = fleet.on_request(self.now, &SERVICE.into(), route, Some(left));
@@ -199,9 +199,7 @@
     }
 
     fn refuse(&mut self, call: usize, retry_after: Duration) {
-        if self.calls[call].returns()
-            && self.now + retry_after < self.calls[call].deadline(self.load)
-        {
+        if self.calls[call].returns() && self.now + retry_after < self.calls[call].deadline {
             self.schedule(retry_after, Event::Ask(call));
             return;
         }
@@ -227,7 +225,7 @@
             return;
         }
         self.end(call, Some(Symptom::Failed));
-        let latest = self.calls[call].deadline(self.load).saturating_sub(self.now) / 3;
+        let latest = self.calls[call].deadline.saturating_sub(self.now) / 3;
         let retry_after = self.routers[router].return_after(self.now, SERVICE, latest);
         self.refuse(call, retry_after);
     }
@@ -287,7 +285,7 @@
     }
 
     fn leave(&mut self) {
-        let is_over = |call: &usize| self.calls[*call].deadline(self.load) <= self.now;
+        let is_over = |call: &usize| self.calls[*call].deadline <= self.now;
         let mut over: Vec<usize> = self.sent.keys().copied().filter(is_over).collect();
         over.sort_unstable();
         for call in over {
--- a/teaselworks_model/tests/loads.rs
+++ b/teaselworks_model/tests/loads.rs
@@ -8,6 +8,7 @@
 const BURST: &str = include_str!("../loads/burst-8x.jsonc");
 const SMALL_BURST: &str = include_str!("../loads/burst-3.5x.jsonc");
 const MANY_ROUTERS: &str = include_str!("../loads/many-routers.jsonc");
+const MANY_ROUTERS_BURST: &str = include_str!("../loads/many-routers-burst.jsonc");
 const DARK_THIRD: &str = include_str!("../loads/dark-third.jsonc");
 
 fn replay(text: &str, check: impl Fn(&Outcome)) {
@@ -110,3 +111,13 @@
         assert!(in_time(outcome, 2, 12) > 0.95);
     });
 }
+
+/// Guards against many routers that act on the same late report, so that engines hold far more than
+/// they answer in time.
+#[test]
+fn many_routers_serve_a_burst_in_time() {
+    replay(MANY_ROUTERS_BURST, |outcome| {
+        assert!(in_time(outcome, 6, 12) > 0.45);
+        assert!(in_time(outcome, 14, 18) > 0.87);
+    });
+}
--- a/teaselworks_policy/src/deadline.rs
+++ b/teaselworks_policy/src/deadline.rs
@@ -6,37 +6,47 @@
 
 use crate::configuration::{Route, Routes};
 
-/// Part of the longest deadline that is left of it with each shorter one.
-const LONGEST_KEPT: f64 = 0.999;
+/// Weight of a longer deadline in the shortest usual one, which rises while shorter ones stay away.
+const LONGER_WEIGHT: f64 = 0.002;
+/// Part of the shortest usual deadline below which a caller has waited already.
+const RETURNED_SHARE: f64 = 0.97;
 
-/// Longest time that callers of each route wait for an answer.
+/// Shortest time that callers of each route usually wait for an answer.
 ///
-/// Callers state what is left of it: less, where they were refused before and came back.
+/// Callers state what is left of it, and differ in their patience. Less than any of them states at
+/// first is left to one that was refused before and came back: it is late already.
 #[derive(Debug, Default)]
-pub struct LongestDeadlines {
+pub struct UsualDeadlines {
     routes: HashMap<Arc<str>, Duration>,
 }
 
-impl LongestDeadlines {
-    /// Takes a caller's deadline; tells whether the caller has waited for longer than it aims at.
+impl UsualDeadlines {
+    /// Takes a caller's deadline while nobody is refused.
     ///
     /// ```
     /// use std::time::Duration;
     /// use teaselworks_policy::configuration::{Kind, Route};
-    /// use teaselworks_policy::deadline::LongestDeadlines;
+    /// use teaselworks_policy::deadline::UsualDeadlines;
     ///
     /// let route = Route::example(Kind::Stream, "/a/");
-    /// let mut deadlines = LongestDeadlines::default();
+    /// let mut deadlines = UsualDeadlines::default();
+    /// deadlines.learn(&route, Duration::from_secs(3));
     /// assert!(!deadlines.is_late(&route, Duration::from_secs(3)));
     /// assert!(deadlines.is_late(&route, Duration::from_secs(2)));
     /// ```
-    pub fn is_late(&mut self, route: &Route, deadline: Duration) -> bool {
-        let Some(longest) = self.routes.get_mut(&route.name) else {
+    pub fn learn(&mut self, route: &Route, deadline: Duration) {
+        let Some(shortest) = self.routes.get_mut(&route.name) else {
             self.routes.insert(route.name.clone(), deadline);
-            return false;
+            return;
         };
-        *longest = deadline.max(longest.mul_f64(LONGEST_KEPT));
-        longest.saturating_sub(deadline) > route.target_latency
+        let rise = deadline.saturating_sub(*shortest).mul_f64(LONGER_WEIGHT);
+        *shortest = deadline.min(*shortest + rise);
+    }
+
+    /// Tells whether a caller has waited already, by what is left of its time.
+    pub fn is_late(&self, route: &Route, deadline: Duration) -> bool {
+        let shortest = self.routes.get(&route.name);
+        shortest.is_some_and(|shortest| deadline < shortest.mul_f64(RETURNED_SHARE))
     }
 
     /// Forgets routes that a configuration does not have.
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -8,7 +8,7 @@
 use rand_pcg::Pcg32;
 
 use crate::configuration::{Configuration, Route};
-use crate::deadline::LongestDeadlines;
+use crate::deadline::UsualDeadlines;
 use crate::membership::Membership;
 use crate::placement::{Demand, Placement, PlacementSettings, place};
 use crate::retry::{BudgetSettings, RetryBudget};
@@ -37,7 +37,7 @@
     pools: HashMap<Arc<str>, Pool>,
     budget: RetryBudget,
     times: RouteTimes,
-    deadlines: LongestDeadlines,
+    deadlines: UsualDeadlines,
     random: Pcg32,
     /// The other routers.
     pub membership: Membership,
@@ -52,7 +52,7 @@
             pools: HashMap::new(),
             budget: RetryBudget::new(settings.budget),
             times: RouteTimes::default(),
-            deadlines: LongestDeadlines::default(),
+            deadlines: UsualDeadlines::default(),
             random: Pcg32::seed_from_u64(seed),
             membership,
         }
@@ -145,8 +145,7 @@
         self.times.add(route, elapsed);
     }
 
-    /// Counts a request for a service; tells whether its caller has waited for longer than it aims
-    /// at, as one that was refused and came back.
+    /// Counts a request for a service; tells whether its caller was refused before and came back.
     pub fn on_request(
         &mut self,
         now: Duration,
@@ -155,7 +154,13 @@
         deadline: Option<Duration>,
     ) -> bool {
         self.budget.on_request(now, service);
-        deadline.is_some_and(|deadline| self.deadlines.is_late(route, deadline))
+        let Some(deadline) = deadline else { return false };
+        // Those that were refused are back within what is left of their time.
+        let refused_at = self.pools.get(service).and_then(|pool| pool.returns.refused_at());
+        if refused_at.is_none_or(|refused_at| now.saturating_sub(refused_at) > deadline) {
+            self.deadlines.learn(route, deadline);
+        }
+        self.deadlines.is_late(route, deadline)
     }
 
     /// Takes one repeat from the retry budget; false where it is spent.
@@ -183,7 +188,7 @@
                 pool.returns.on_placed(now);
                 Ok(placement)
             }
-            Err(refusal) if refusal.reason == RefusalReason::Overloaded => {
+            Err(refusal) if refusal.reason.is_overload() => {
                 let retry_after =
                     pool.returns.schedule(now, demand.latest_return, &mut self.random);
                 Err(Refusal { retry_after: Some(retry_after), ..refusal })
--- a/teaselworks_policy/src/placement/admission.rs
+++ b/teaselworks_policy/src/placement/admission.rs
@@ -7,14 +7,30 @@
 
 use super::{Demand, PlacementSettings};
 use crate::upstream::{Member, Pool, Usual};
+use crate::verdict::RefusalReason;
 
 /// Part of what callers aim at that a request may wait for a slot. The same for every request of a
 /// service: with less for some, these would never find a place under load.
 const WAIT_SHARE: f64 = 0.15;
 
-/// Part of the slots that requests may take which are late already: those that can still be answered
-/// in time go before them, so that a service is whole again soon after its load has passed.
-const LATE_SLOTS: f64 = 0.95;
+/// Returns why a service has no room for a request, whatever replica it would go to.
+///
+/// While nearly all slots are taken, callers that can still be answered in time go before those that
+/// are late already.
+pub(super) fn lacks_room(
+    pool: &Pool,
+    now: Duration,
+    is_crowded: bool,
+    demand: &Demand<'_>,
+) -> Option<RefusalReason> {
+    if demand.is_begun {
+        return None;
+    }
+    if is_crowded && demand.is_late {
+        return Some(RefusalReason::LateCaller);
+    }
+    pool.is_saturated(now, is_crowded).then_some(RefusalReason::Limited)
+}
 
 /// Tells whether a replica would not answer a request in time.
 pub(super) fn is_too_late(
@@ -28,12 +44,6 @@
     if demand.is_begun {
         return false;
     }
-    if demand.is_late && is_known(member, now, settings) {
-        let slots = f64::from(member.upstream.slots);
-        if member.load.estimate(now, usual) > LATE_SLOTS * slots {
-            return true;
-        }
-    }
     let longest = pool.target().map_or(demand.remaining, |target| target.mul_f64(WAIT_SHARE));
     let wait = expected_wait(member, now, usual, settings);
     wait.is_some_and(|wait| wait > longest.min(demand.remaining))
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -49,7 +49,7 @@
     pub latest_return: Duration,
     /// Its answer has begun: it goes on also where new requests are refused.
     pub is_begun: bool,
-    /// Its caller has waited for longer than it aims at.
+    /// Its caller was refused before and came back.
     pub is_late: bool,
 }
 
@@ -125,15 +125,15 @@
         let retry_after = ABSENCE_RETRY.min(demand.latest_return);
         return Err(Refusal::not_run(RefusalReason::NoReplica, Some(retry_after)));
     };
-    let overloaded = Refusal::not_run(RefusalReason::Overloaded, None);
-    if pool.is_saturated() && !demand.is_begun {
-        return Err(overloaded);
+    if let Some(reason) = admission::lacks_room(pool, now, scan.is_crowded(), demand) {
+        return Err(Refusal::not_run(reason, None));
     }
     let mut choice = match key {
         Some(key) => by_reuse(&scan, now, key, settings),
         None => by_load(&scan, now, demand.zone, random),
     };
     if admission::is_too_late(pool, choice.member, now, demand, scan.usual(), settings) {
+        let overloaded = Refusal::not_run(RefusalReason::Overloaded, None);
         choice = key.and_then(|key| spill(&scan, now, key, settings)).ok_or(overloaded)?;
     }
     let mut placement = choice.placement(now);
--- a/teaselworks_policy/src/placement/returns.rs
+++ b/teaselworks_policy/src/placement/returns.rs
@@ -23,6 +23,7 @@
     next: Duration,
     placed_per_s: f64,
     placed_at: Duration,
+    refused_at: Option<Duration>,
 }
 
 impl Returns {
@@ -46,6 +47,7 @@
     /// assert!(returns.schedule(Duration::ZERO, 60 * second, &mut random) > first);
     /// ```
     pub fn schedule(&mut self, now: Duration, latest: Duration, random: &mut impl Rng) -> Duration {
+        self.refused_at = Some(now);
         let rate = self.rate(now).max(LEAST_PER_S) * RETURN_SHARE;
         let next = self.next.max(now + SHORTEST_RETURN) + Duration::from_secs_f64(1.0 / rate);
         let wait = next.saturating_sub(now);
@@ -57,6 +59,11 @@
         wait
     }
 
+    /// Returns when a caller was last refused.
+    pub fn refused_at(&self) -> Option<Duration> {
+        self.refused_at
+    }
+
     fn rate(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.placed_at).as_secs_f64();
         self.placed_per_s * (-age / RATE_TIME.as_secs_f64()).exp()
--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -13,6 +13,12 @@
 /// Weight of the latest request in a running mean of times.
 const LATEST_WEIGHT: f64 = 0.1;
 
+/// Requests for each slot that all routers together always allow: beyond those that run, some wait
+/// for a slot that becomes free.
+const HELD_PER_SLOT: f64 = 1.3;
+/// The same where replicas say nothing of their load, and requests are spread less evenly.
+const UNREPORTED_PER_SLOT: f64 = 2.0;
+
 /// One replica of a service.
 #[derive(Debug)]
 pub struct Member {
@@ -114,23 +120,29 @@
     }
 
     /// Tells whether this router keeps as many requests at the service as are answered in time; one
-    /// that reports its load is judged by that.
-    pub fn is_saturated(&self) -> bool {
-        !self.reports_load && !self.concurrency.allows(self.in_progress())
+    /// that reports its load is judged so only while nearly all of its slots are taken.
+    pub fn is_saturated(&self, now: Duration, is_crowded: bool) -> bool {
+        (is_crowded || !self.reports_load) && !self.concurrency.allows(self.in_progress(now))
+    }
+
+    /// Returns the requests of this router at replicas that may answer; what waits at a replica that
+    /// is silent takes no room from others.
+    fn in_progress(&self, now: Duration) -> u32 {
+        self.usable(now).map(|member| member.load.own()).sum()
     }
 
-    fn in_progress(&self) -> u32 {
-        self.members.iter().map(|member| member.load.own()).sum()
+    fn usable(&self, now: Duration) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(move |member| member.health.is_usable(now))
     }
 
     /// Takes how long a request waited for the first byte of its answer, in a fleet of so many
     /// routers.
     pub fn first_byte(&mut self, now: Duration, waited: Duration, routers: u32) {
         let Some(target) = self.target else { return };
-        let slots: u32 = self.members.iter().map(|member| member.upstream.slots).sum();
-        // Beside each that runs one may wait: its answer takes about twice as long.
-        let least = 2.0 * f64::from(slots) / f64::from(routers.max(1));
-        let in_progress = self.in_progress();
+        let slots: u32 = self.usable(now).map(|member| member.upstream.slots).sum();
+        let held_per_slot = if self.reports_load { HELD_PER_SLOT } else { UNREPORTED_PER_SLOT };
+        let least = held_per_slot * f64::from(slots) / f64::from(routers.max(1));
+        let in_progress = self.in_progress(now);
         self.concurrency.observe(now, waited, target, in_progress, least);
     }
 
--- a/teaselworks_policy/src/verdict.rs
+++ b/teaselworks_policy/src/verdict.rs
@@ -59,6 +59,10 @@
     NoReplica,
     /// Every replica is full, and none will have room in the time that is left.
     Overloaded,
+    /// This router has as many requests at the service as are answered in time.
+    Limited,
+    /// Nearly all slots of the service are taken, and the caller is late already.
+    LateCaller,
     /// No replica could be connected to.
     Unreachable,
     /// Replicas turned the request away unexecuted, and the retry budget is spent.
@@ -75,7 +79,7 @@
 
 impl RefusalReason {
     /// Every reason, in the order of the metrics.
-    pub const ALL: [RefusalReason; 14] = [
+    pub const ALL: [RefusalReason; 16] = [
         RefusalReason::NoConfiguration,
         RefusalReason::Malformed,
         RefusalReason::UnknownRoute,
@@ -84,6 +88,8 @@
         RefusalReason::BodyTimeout,
         RefusalReason::NoReplica,
         RefusalReason::Overloaded,
+        RefusalReason::Limited,
+        RefusalReason::LateCaller,
         RefusalReason::Unreachable,
         RefusalReason::RetryBudget,
         RefusalReason::Rejected,
@@ -92,6 +98,14 @@
         RefusalReason::Stopping,
     ];
 
+    /// Tells whether a service has no room for the request, of which it will have some again.
+    pub fn is_overload(self) -> bool {
+        matches!(
+            self,
+            RefusalReason::Overloaded | RefusalReason::Limited | RefusalReason::LateCaller
+        )
+    }
+
     /// Returns the reason's name in metrics, logs and answers.
     ///
     /// ```
@@ -109,6 +123,8 @@
             RefusalReason::BodyTimeout => "body_timeout",
             RefusalReason::NoReplica => "no_replica",
             RefusalReason::Overloaded => "overloaded",
+            RefusalReason::Limited => "limited",
+            RefusalReason::LateCaller => "late_caller",
             RefusalReason::Unreachable => "unreachable",
             RefusalReason::RetryBudget => "retry_budget",
             RefusalReason::Rejected => "rejected",
@@ -183,6 +199,8 @@
             RefusalReason::NoConfiguration
             | RefusalReason::NoReplica
             | RefusalReason::Overloaded
+            | RefusalReason::Limited
+            | RefusalReason::LateCaller
             | RefusalReason::Unreachable
             | RefusalReason::RetryBudget
             | RefusalReason::Rejected
--- a/teaselworks_policy/tests/concurrency.rs
+++ b/teaselworks_policy/tests/concurrency.rs
@@ -1,8 +1,8 @@
-//! The limit on requests at a service that says nothing of its load.
+//! The limit on requests at a service, by how long answers take.
 
 use std::time::Duration;
 
-use teaselworks_policy::upstream::{Pool, Symptom, Upstream};
+use teaselworks_policy::upstream::{LoadReport, Pool, Symptom, Upstream};
 
 const AIM: Duration = Duration::from_millis(300);
 
@@ -32,7 +32,7 @@
 fn allowed(pool: &mut Pool) -> u32 {
     let upstream = Upstream::example("i-0", "plain").incarnation();
     let mut count = 0;
-    while count < 100 && !pool.is_saturated() {
+    while count < 100 && !pool.is_saturated(Duration::ZERO, false) {
         pool.begin(Duration::ZERO, &upstream);
         count += 1;
     }
@@ -71,3 +71,38 @@
     pool.first_byte(Duration::from_secs(3), Duration::from_millis(450), 7);
     assert_eq!(allowed(&mut pool), 100);
 }
+
+/// Guards against many routers that act on the same late reports, so that replicas which report
+/// their load hold more than callers wait for.
+#[test]
+fn a_service_that_reports_is_limited_while_nearly_all_slots_are_taken() {
+    let mut pool = pool();
+    let report = LoadReport { running: 6, waiting: 9 };
+    pool.report(Duration::ZERO, &Upstream::example("i-0", "plain").incarnation(), report);
+    press(&mut pool, 1..20, 30, Duration::from_millis(280));
+    let now = Duration::from_secs(20);
+    let upstream = Upstream::example("i-0", "plain").incarnation();
+    for _ in 0..30 {
+        pool.begin(now, &upstream);
+    }
+    assert!(pool.is_saturated(now, true));
+    assert!(!pool.is_saturated(now, false), "slots are free");
+}
+
+/// Guards against requests that wait at silent replicas and take the room of those that would be
+/// answered elsewhere.
+#[test]
+fn what_waits_at_an_ejected_replica_takes_no_room() {
+    let mut pool = pool();
+    press(&mut pool, 1..20, 30, Duration::from_millis(280));
+    let now = Duration::from_secs(20);
+    let upstream = Upstream::example("i-1", "plain").incarnation();
+    for _ in 0..40 {
+        pool.begin(now, &upstream);
+    }
+    assert!(pool.is_saturated(now, true));
+    for _ in 0..2 {
+        pool.end(now, &upstream, Some(Symptom::Broken), Duration::ZERO);
+    }
+    assert!(!pool.is_saturated(now, true));
+}
--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -172,7 +172,7 @@
     let prompt = prompt(10);
     let place = |demand: &Demand<'_>| place(&pool, NOW, demand, &SETTINGS, &mut random());
     let demand = demand(Some(&prompt));
-    assert_eq!(place(&demand).unwrap_err().reason, RefusalReason::Overloaded);
+    assert_eq!(place(&demand).unwrap_err().reason, RefusalReason::Limited);
     assert!(place(&Demand { is_begun: true, ..demand }).is_ok());
 }
 
