Routers tell each other failures of replicas

Cause: when a third of the engines goes dark, each of 70 routers finds each dark engine by itself, with two connections of 0.4 s that fail; one router sends to one engine once in some seconds.

Ruled out: that what waits at dark engines is the loss (it is lost either way); that reports of load show the silence (each router's last word stays for ten seconds).

Change: the messages that pass on loads also tell failures of requests that were sent after a replica was last heard of. Three of them eject it where they are heard; a load that anybody heard later takes that back at once. loads and failures are one type, Sightings. Ejections on others' word are logged as such, and so is their end.

--- a/teaselworks/src/beliefs/fallback.rs
+++ b/teaselworks/src/beliefs/fallback.rs
@@ -10,7 +10,7 @@
 
 use super::{Learner, Source};
 use crate::event;
-use crate::peers::message::Loads;
+use crate::peers::message::Heard;
 use crate::peers::{Peer, Question};
 use crate::relay::Shared;
 
@@ -41,7 +41,7 @@
                 known_revision: known,
                 wait: Duration::ZERO,
                 largest_bytes: None,
-                loads: Loads::default(),
+                heard: Heard::default(),
             };
             let answer = match Peer::new(address).ask(question).await {
                 Ok(answer) => answer,
--- a/teaselworks/src/beliefs/follow.rs
+++ b/teaselworks/src/beliefs/follow.rs
@@ -7,7 +7,7 @@
 use super::{Learner, News, PeerFallback, Source};
 use crate::event;
 use crate::metrics::{Metrics, StoreOutcome};
-use crate::peers::message::Loads;
+use crate::peers::message::Heard;
 use crate::peers::{Peer, Question};
 use crate::platform::{Store, StoreError, Watched};
 
@@ -151,17 +151,17 @@
             known_revision: self.learner.revision(),
             wait,
             largest_bytes: Some(NEWS_SIZE_MAX_BYTES),
-            loads: Loads::pack(&self.learner.own_loads_after(told_at)),
+            heard: Heard::pack(&self.learner.own_sightings_after(told_at)),
         };
         let cause = match reader.ask(question).await {
             Ok(answer) if answer.news == News::TooLarge => {
-                self.learner.on_loads(&answer.loads.unpack());
+                self.learner.on_sightings(&answer.heard.unpack());
                 // One look at the store, after which the reader is asked again.
                 self.contact = Contact::Untried;
                 return;
             }
             Ok(answer) if answer.reads_store => {
-                self.learner.on_loads(&answer.loads.unpack());
+                self.learner.on_sightings(&answer.heard.unpack());
                 self.learner.on_news(&answer.news, Source::Peer(address));
                 return;
             }
--- a/teaselworks/src/beliefs/learn.rs
+++ b/teaselworks/src/beliefs/learn.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use teaselworks_policy::configuration::Configuration;
-use teaselworks_policy::upstream::{Change, Listed, Registry, SharedLoad};
+use teaselworks_policy::upstream::{Change, Listed, Registry, Sightings};
 
 use super::{News, StoreCache};
 use crate::event;
@@ -59,14 +59,14 @@
         self.shared.fleet().membership.reader()
     }
 
-    /// Returns the loads of upstreams that this router itself heard after a time.
-    pub fn own_loads_after(&self, after: Duration) -> Vec<SharedLoad> {
-        self.shared.fleet().loads_after(self.shared.now(), after, true)
+    /// Returns what this router itself heard of upstreams after a time.
+    pub fn own_sightings_after(&self, after: Duration) -> Sightings {
+        self.shared.fleet().sightings_after(self.shared.now(), after, true)
     }
 
-    /// Takes the loads of upstreams that other routers heard.
-    pub fn on_loads(&self, loads: &[SharedLoad]) {
-        self.shared.fleet().hear_loads(self.shared.now(), loads);
+    /// Takes what other routers heard of upstreams.
+    pub fn on_sightings(&self, sightings: &Sightings) {
+        self.shared.hear(sightings);
     }
 
     /// Notes that the store cannot be read.
--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -62,8 +62,9 @@
     UPSTREAM_DRAINING = 901 Info "upstream_draining" "An upstream leaves and gets no new requests.";
     UPSTREAM_MISSING = 902 Info "upstream_missing" "An upstream's entry vanished right after an outage of the store; it is used until it is back or known to be gone.";
     UPSTREAM_GONE = 903 Info "upstream_gone" "An upstream is no longer listed and gets no requests.";
-    UPSTREAM_EJECTED = 904 Warn "upstream_ejected" "An upstream failed too often and gets no requests for a while.";
+    UPSTREAM_EJECTED = 904 Warn "upstream_ejected" "An upstream failed too often and gets no requests for a while; the reason says whether here (failed) or at other routers (told).";
     UPSTREAM_RESTARTED = 905 Info "upstream_restarted" "An upstream started again under its identifier: connections to its earlier start are closed, and nothing known of it holds.";
     UPSTREAM_STALE = 906 Info "upstream_stale" "An entry of an earlier start of an upstream was read and is ignored.";
     UPSTREAM_SUSPENDED = 907 Warn "upstream_suspended" "An upstream's entry cannot be understood; it gets no new requests until it can, and those in progress go on.";
+    UPSTREAM_READMITTED = 908 Info "upstream_readmitted" "An upstream that was ejected for other routers' failures gets requests again, since one of them was answered.";
 }
--- a/teaselworks/src/peers/message.rs
+++ b/teaselworks/src/peers/message.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use teaselworks_policy::upstream::SharedLoad;
+use teaselworks_policy::upstream::{SharedFailures, SharedLoad, Sightings};
 
 use super::PeerError;
 use crate::beliefs::News;
@@ -19,9 +19,9 @@
     pub wait: Duration,
     /// Largest answer that it wants; it reads the store where there is more.
     pub largest_bytes: Option<usize>,
-    /// Loads that it heard from upstreams since it asked last.
+    /// What it heard of upstreams itself since it asked last.
     #[serde(default)]
-    pub loads: Loads,
+    pub heard: Heard,
 }
 
 /// What the other one answers.
@@ -31,44 +31,67 @@
     pub reads_store: bool,
     /// What it knows beyond the revision.
     pub news: News,
-    /// Loads of upstreams that it heard since it answered last.
+    /// What it heard of upstreams since it answered last.
     #[serde(default)]
-    pub loads: Loads,
+    pub heard: Heard,
 }
 
-/// Loads of upstreams: hash of the incarnation, requests, age in milliseconds.
+/// What a router heard of upstreams, in rows of the hash of the incarnation, a number and an age in
+/// milliseconds.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Loads(Vec<(u64, u32, u32)>);
+pub struct Heard {
+    /// Requests there.
+    #[serde(default)]
+    loads: Vec<Row>,
+    /// Failures since it was last heard of.
+    #[serde(default)]
+    failures: Vec<Row>,
+}
 
-impl Loads {
-    /// Packs loads for a message.
+type Row = (u64, u32, u32);
+
+impl Heard {
+    /// Packs sightings for a message.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use teaselworks::peers::message::Loads;
-    /// use teaselworks_policy::upstream::SharedLoad;
+    /// use teaselworks::peers::message::Heard;
+    /// use teaselworks_policy::upstream::{SharedLoad, Sightings};
     ///
     /// let load = SharedLoad { incarnation: 7, total: 3, age: Duration::from_millis(40) };
-    /// assert_eq!(Loads::pack(&[load]).unpack(), [load]);
+    /// let sightings = Sightings { loads: vec![load], ..Sightings::default() };
+    /// assert_eq!(Heard::pack(&sightings).unpack(), sightings);
     /// ```
-    pub fn pack(loads: &[SharedLoad]) -> Self {
-        let pack = |load: &SharedLoad| {
-            let age_ms = u32::try_from(load.age.as_millis()).unwrap_or(u32::MAX);
-            (load.incarnation, load.total, age_ms)
-        };
-        Self(loads.iter().map(pack).collect())
+    pub fn pack(sightings: &Sightings) -> Self {
+        let load = |load: &SharedLoad| (load.incarnation, load.total, ms(load.age));
+        let failed = |told: &SharedFailures| (told.incarnation, told.count, ms(told.age));
+        Self {
+            loads: sightings.loads.iter().map(load).collect(),
+            failures: sightings.failures.iter().map(failed).collect(),
+        }
     }
 
-    /// Unpacks the loads of a message.
-    pub fn unpack(&self) -> Vec<SharedLoad> {
-        let unpack = |&(incarnation, total, age_ms): &(u64, u32, u32)| {
+    /// Unpacks the sightings of a message.
+    pub fn unpack(&self) -> Sightings {
+        let load = |&(incarnation, total, age_ms): &Row| {
             let age = Duration::from_millis(age_ms.into());
             SharedLoad { incarnation, total, age }
         };
-        self.0.iter().map(unpack).collect()
+        let failed = |&(incarnation, count, age_ms): &Row| {
+            let age = Duration::from_millis(age_ms.into());
+            SharedFailures { incarnation, count, age }
+        };
+        Sightings {
+            loads: self.loads.iter().map(load).collect(),
+            failures: self.failures.iter().map(failed).collect(),
+        }
     }
 }
 
+fn ms(age: Duration) -> u32 {
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Encodes a message.
 ///
 /// ```
--- a/teaselworks/src/relay/in_flight.rs
+++ b/teaselworks/src/relay/in_flight.rs
@@ -60,6 +60,7 @@
             event::UPSTREAM_EJECTED.log(&[
                 event::text("upstream", &self.incarnation.id),
                 event::text("service", &self.service),
+                event::text("reason", &"failed"),
             ]);
         }
     }
--- a/teaselworks/src/relay/shared.rs
+++ b/teaselworks/src/relay/shared.rs
@@ -7,9 +7,11 @@
 use teaselworks_policy::deadline::Deadline;
 use teaselworks_policy::fleet::Fleet;
 use teaselworks_policy::stop::StopPlan;
+use teaselworks_policy::upstream::{Judged, Sightings};
 use teaselworks_policy::verdict::Refusal;
 
 use super::Connections;
+use crate::event;
 use crate::kernel::{Shutdown, ShutdownPhase};
 use crate::metrics::Metrics;
 
@@ -65,6 +67,20 @@
         self.fleet().admit_while_stopping(plan, elapsed, route, limit, latest_return)
     }
 
+    /// Takes what other routers heard of upstreams.
+    pub fn hear(&self, sightings: &Sightings) {
+        let judged = self.fleet().hear(self.now(), sightings);
+        for Judged { upstream, is_ejected } in judged {
+            if is_ejected {
+                self.metrics.add_ejection();
+                event::UPSTREAM_EJECTED
+                    .log(&[event::text("upstream", &upstream), event::text("reason", &"told")]);
+            } else {
+                event::UPSTREAM_READMITTED.log(&[event::text("upstream", &upstream)]);
+            }
+        }
+    }
+
     /// Locks the beliefs for one decision; nothing is awaited while they are locked.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         self.fleet.lock().expect("no decision panics")
--- a/teaselworks/tests/platform.rs
+++ b/teaselworks/tests/platform.rs
@@ -5,10 +5,10 @@
 use proptest::prelude::*;
 use serde_json::{Value, json};
 use teaselworks::beliefs::News;
-use teaselworks::peers::message::{self, Answer, Loads, Question};
+use teaselworks::peers::message::{self, Answer, Heard, Question};
 use teaselworks::platform::{Belief, Item, ItemChange, decode};
 use teaselworks_policy::configuration::{Configuration, Kind};
-use teaselworks_policy::upstream::{SharedLoad, Upstream};
+use teaselworks_policy::upstream::{SharedLoad, Sightings, Upstream};
 
 fn item(key: &str, value: &[u8]) -> Item {
     Item { key: key.into(), value: Some(value.to_vec().into()), revision: 1 }
@@ -159,8 +159,8 @@
     ) {
         let changes = vec![ItemChange::Written(item("servers/i-1", &value))];
         let load = SharedLoad { incarnation: 7, total: 3, age: Duration::from_millis(9) };
-        let loads = Loads::pack(&[load]);
-        let answer = Answer { reads_store: true, news: News::Changes(changes), loads };
+        let heard = Heard::pack(&Sightings { loads: vec![load], ..Sightings::default() });
+        let answer = Answer { reads_store: true, news: News::Changes(changes), heard };
         let bytes = message::encode(&answer).unwrap();
         prop_assert_eq!(message::decode::<Answer>(&bytes).unwrap().news, answer.news);
         prop_assert!(message::decode::<Answer>(&bytes[..cut.index(bytes.len())]).is_err());
--- a/teaselworks/tests/readers.rs
+++ b/teaselworks/tests/readers.rs
@@ -98,3 +98,22 @@
     .await
     .unwrap();
 }
+
+/// Guards against routers of a large fleet that each find a broken replica by themselves.
+#[tokio::test]
+async fn a_replica_that_fails_at_some_routers_is_left_by_the_others() {
+    let fleet = fleet(ROUTERS).await;
+    fleet.services[0].set_behaviour(|_| Script::of(vec![Step::Reset]));
+    let (untouched, others) = fleet.routers.split_last().unwrap();
+    let mut turn = 0;
+    until("a router that sent nothing ejects the replica", async || {
+        for router in others {
+            turn += 1;
+            call(router.callers(), &request("GET", "/read/a", &format!("b{turn}"))).await.unwrap();
+        }
+        !untouched.events("upstream_ejected").is_empty()
+    })
+    .await
+    .unwrap();
+    assert_eq!(untouched.events("upstream_ejected")[0]["reason"], "told");
+}
--- a/teaselworks_model/src/run.rs
+++ b/teaselworks_model/src/run.rs
@@ -132,7 +132,7 @@
         }
     }
 
-    /// Lets routers tell each other the loads that they heard, through the first of them.
+    /// Lets routers tell each other what they heard of engines, through the first of them.
     fn exchange(&mut self) {
         let Some(interval_ms) = self.load.exchange_ms else { return };
         if self.now < self.exchanged_at + milliseconds(interval_ms) {
@@ -141,11 +141,11 @@
         let after = std::mem::replace(&mut self.exchanged_at, self.now);
         let Some((reader, others)) = self.routers.split_first_mut() else { return };
         for router in others.iter() {
-            reader.hear_loads(self.now, &router.loads_after(self.now, after, true));
+            reader.hear(self.now, &router.sightings_after(self.now, after, true));
         }
-        let loads = reader.loads_after(self.now, after, false);
+        let sightings = reader.sightings_after(self.now, after, false);
         for router in others {
-            router.hear_loads(self.now, &loads);
+            router.hear(self.now, &sightings);
         }
     }
 
--- a/teaselworks_model/tests/loads.rs
+++ b/teaselworks_model/tests/loads.rs
@@ -9,6 +9,7 @@
 const SMALL_BURST: &str = include_str!("../loads/burst-3.5x.jsonc");
 const MANY_ROUTERS: &str = include_str!("../loads/many-routers.jsonc");
 const MANY_ROUTERS_BURST: &str = include_str!("../loads/many-routers-burst.jsonc");
+const MANY_ROUTERS_DARK: &str = include_str!("../loads/many-routers-dark.jsonc");
 const DARK_THIRD: &str = include_str!("../loads/dark-third.jsonc");
 
 fn replay(text: &str, check: impl Fn(&Outcome)) {
@@ -121,3 +122,12 @@
         assert!(in_time(outcome, 14, 18) > 0.87);
     });
 }
+
+/// Guards against many routers that each find every dark engine by themselves.
+#[test]
+fn many_routers_soon_leave_dark_engines() {
+    replay(MANY_ROUTERS_DARK, |outcome| {
+        assert!(in_time(outcome, 4, 9) > 0.82);
+        assert!(in_time(outcome, 10, 14) > 0.97);
+    });
+}
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -14,7 +14,9 @@
 use crate::retry::{BudgetSettings, RetryBudget};
 use crate::stop::{Arrival, StopPlan};
 use crate::times::RouteTimes;
-use crate::upstream::{Change, Incarnation, LoadReport, Pool, SharedLoad, Symptom, Upstream};
+use crate::upstream::{
+    Change, HeardOf, Incarnation, Judged, LoadReport, Pool, Sightings, Symptom, Upstream,
+};
 use crate::verdict::{Refusal, RefusalReason};
 
 /// Time after which a caller of a service without any replica comes back.
@@ -210,24 +212,26 @@
         }
     }
 
-    /// Returns the loads of replicas that were heard after a time, for other routers; `only_own`
-    /// leaves out what others said.
-    pub fn loads_after(&self, now: Duration, after: Duration, only_own: bool) -> Vec<SharedLoad> {
-        self.pools.values().flat_map(|pool| pool.loads_after(now, after, only_own)).collect()
+    /// Returns what was heard of replicas after a time, for other routers; `only_own` leaves out what
+    /// others said.
+    pub fn sightings_after(&self, now: Duration, after: Duration, only_own: bool) -> Sightings {
+        let mut sightings = Sightings::default();
+        for pool in self.pools.values() {
+            sightings.extend(pool.sightings_after(now, after, only_own));
+        }
+        sightings
     }
 
-    /// Takes loads of replicas that another router heard.
+    /// Takes what another router heard of replicas; returns those that are ejected or in use again
+    /// for it.
     ///
     /// Answers many routers before many replicas, of which each hears from one only now and then.
-    pub fn hear_loads(&mut self, now: Duration, loads: &[SharedLoad]) {
-        let loads: HashMap<u64, SharedLoad> =
-            loads.iter().map(|load| (load.incarnation, *load)).collect();
-        if loads.is_empty() {
-            return;
-        }
-        for pool in self.pools.values_mut() {
-            pool.hear_loads(now, &loads);
+    pub fn hear(&mut self, now: Duration, sightings: &Sightings) -> Vec<Judged> {
+        if sightings.is_empty() {
+            return Vec::new();
         }
+        let heard = HeardOf::from(sightings);
+        self.pools.values_mut().flat_map(|pool| pool.hear(now, &heard)).collect()
     }
 
     /// Takes a request off a replica that held it for a time; tells whether the replica is ejected.
--- a/teaselworks_policy/src/upstream/health.rs
+++ b/teaselworks_policy/src/upstream/health.rs
@@ -32,6 +32,8 @@
     ejections: u32,
     ejected_until: Option<Duration>,
     is_on_trial: bool,
+    /// Other routers' failures ejected it.
+    is_by_word: bool,
     failed_share: f64,
 }
 
@@ -58,6 +60,7 @@
         };
         let was_on_trial = std::mem::take(&mut self.is_on_trial);
         if symptom == Symptom::Answered {
+            self.is_by_word = false;
             if was_on_trial {
                 self.failed_share = mean_failed_share;
                 self.ejections = 0;
@@ -70,10 +73,48 @@
         if !(is_grey || is_broken || failed_trial) || self.is_ejected(now) {
             return false;
         }
+        self.is_by_word = false;
+        self.eject(now);
+        true
+    }
+
+    /// Ejects the upstream for failures that other routers met; false where it is not in use already.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselworks_policy::upstream::Health;
+    ///
+    /// let mut health = Health::default();
+    /// assert!(health.eject_by_word(Duration::ZERO));
+    /// assert!(!health.is_usable(Duration::ZERO));
+    /// assert!(health.readmit());
+    /// assert!(health.is_usable(Duration::ZERO));
+    /// ```
+    pub fn eject_by_word(&mut self, now: Duration) -> bool {
+        if !self.is_usable(now) {
+            return false;
+        }
+        self.is_by_word = true;
+        self.eject(now);
+        true
+    }
+
+    /// Takes back an ejection for other routers' failures, since one of them was answered; false
+    /// where there was none.
+    pub fn readmit(&mut self) -> bool {
+        if !std::mem::take(&mut self.is_by_word) {
+            return false;
+        }
+        self.ejected_until = None;
+        self.is_on_trial = false;
+        self.ejections = 0;
+        true
+    }
+
+    fn eject(&mut self, now: Duration) {
         let time = FIRST_EJECTION.saturating_mul(1 << self.ejections.min(8)).min(LONGEST_EJECTION);
         self.ejections += 1;
         self.ejected_until = Some(now + time);
-        true
     }
 
     /// Notes that a request is sent: the first after an ejection is a trial, and no other follows
--- a/teaselworks_policy/src/upstream/load.rs
+++ b/teaselworks_policy/src/upstream/load.rs
@@ -32,17 +32,6 @@
     is_own: bool,
 }
 
-/// What one router heard of an upstream's load, as it is passed on to others.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct SharedLoad {
-    /// Hash of the upstream's incarnation.
-    pub incarnation: u64,
-    /// Requests there.
-    pub total: u32,
-    /// Time since the upstream said it.
-    pub age: Duration,
-}
-
 /// Requests of other routers at one upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Foreign {
--- a/teaselworks_policy/src/upstream/mod.rs
+++ b/teaselworks_policy/src/upstream/mod.rs
@@ -4,7 +4,9 @@
 mod health;
 mod load;
 mod pool;
+mod reach;
 mod registry;
+mod sightings;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,9 +14,11 @@
 
 pub use self::concurrency::ConcurrencyLimit;
 pub use self::health::{Health, Symptom};
-pub use self::load::{Foreign, Load, LoadReport, SharedLoad, Usual};
+pub use self::load::{Foreign, Load, LoadReport, Usual};
 pub use self::pool::{Member, Pool};
+pub use self::reach::Reach;
 pub use self::registry::{Change, Listed, Registry};
+pub use self::sightings::{HeardOf, Judged, SharedFailures, SharedLoad, Sightings};
 
 /// One start of a replica. Two starts may have the same identifier and address.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -1,13 +1,13 @@
 //! The replicas of one service, with load and health.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, UNIX_EPOCH};
 
 use crate::placement::{Returns, identity, score};
 
 use super::{
-    ConcurrencyLimit, Health, Incarnation, Load, LoadReport, SharedLoad, Symptom, Upstream,
+    ConcurrencyLimit, Health, HeardOf, Incarnation, Judged, Load, LoadReport, Reach,
+    SharedFailures, SharedLoad, Sightings, Symptom, Upstream,
 };
 
 /// Weight of the latest request in a running mean of times.
@@ -30,6 +30,8 @@
     pub load: Load,
     /// Whether it should get requests.
     pub health: Health,
+    /// Failures that routers met since it was last heard of.
+    pub reach: Reach,
     /// Running mean of the time that it holds a request.
     pub mean_time: Option<Duration>,
     /// It leaves soon and takes no new requests.
@@ -48,6 +50,7 @@
             upstream: Arc::new(upstream),
             load: Load::default(),
             health: Health::default(),
+            reach: Reach::default(),
             mean_time: None,
             is_suspended: false,
             is_blank,
@@ -190,6 +193,11 @@
         let mean_failed_share = self.mean_failed_share();
         let Some(member) = self.find_incarnation(incarnation) else { return false };
         member.load.end();
+        match symptom {
+            Some(Symptom::Answered | Symptom::Failed) => member.reach.see(now),
+            Some(Symptom::Broken) => member.reach.fail(now, now.saturating_sub(held)),
+            None => {}
+        }
         if symptom == Some(Symptom::Answered) {
             member.is_blank = false;
             let mean = member.mean_time.unwrap_or(held).as_secs_f64();
@@ -205,26 +213,44 @@
         }
     }
 
-    /// Returns the loads that were heard after a time; `only_own` leaves out what other routers said.
-    pub fn loads_after(
-        &self,
-        now: Duration,
-        after: Duration,
-        only_own: bool,
-    ) -> impl Iterator<Item = SharedLoad> {
-        self.members.iter().filter_map(move |member| {
-            let (total, age) = member.load.heard_after(now, after, only_own)?;
-            Some(SharedLoad { incarnation: member.incarnation_hash(), total, age })
-        })
+    /// Returns what was heard of the replicas after a time; `only_own` leaves out what other routers
+    /// said.
+    pub fn sightings_after(&self, now: Duration, after: Duration, only_own: bool) -> Sightings {
+        let mut sightings = Sightings::default();
+        for member in &self.members {
+            let incarnation = member.incarnation_hash();
+            if let Some((total, age)) = member.load.heard_after(now, after, only_own) {
+                sightings.loads.push(SharedLoad { incarnation, total, age });
+            }
+            if let Some((count, age)) = member.reach.told_after(now, after, only_own) {
+                sightings.failures.push(SharedFailures { incarnation, count, age });
+            }
+        }
+        sightings
     }
 
-    /// Takes loads that another router heard, by the hash of their incarnation.
-    pub fn hear_loads(&mut self, now: Duration, loads: &HashMap<u64, SharedLoad>) {
+    /// Takes what another router heard; returns the replicas that are ejected or in use again for it.
+    pub fn hear(&mut self, now: Duration, heard: &HeardOf) -> Vec<Judged> {
+        let mut judged = Vec::new();
         for member in &mut self.members {
-            let Some(load) = loads.get(&member.incarnation_hash()) else { continue };
-            member.load.hear(now, load.total, load.age);
-            self.reports_load = true;
+            let hash = member.incarnation_hash();
+            if let Some(load) = heard.loads.get(&hash) {
+                self.reports_load = true;
+                member.load.hear(now, load.total, load.age);
+                member.reach.see(now.saturating_sub(load.age));
+            }
+            let is_silent =
+                heard.failures.get(&hash).is_some_and(|told| member.reach.hear(now, told));
+            let has_changed = if is_silent {
+                member.health.eject_by_word(now)
+            } else {
+                member.reach.has_no_failure() && member.health.readmit()
+            };
+            if has_changed {
+                judged.push(Judged { upstream: member.upstream.id.clone(), is_ejected: is_silent });
+            }
         }
+        judged
     }
 
     /// Takes a replica's report of its load; one of an earlier start changes nothing.
@@ -232,6 +258,7 @@
         self.reports_load = true;
         if let Some(member) = self.find_incarnation(incarnation) {
             member.load.report(now, report);
+            member.reach.see(now);
         }
     }
 
--- a/teaselworks_policy/tests/loads.rs
+++ b/teaselworks_policy/tests/loads.rs
@@ -1,11 +1,11 @@
-//! Loads of replicas that routers tell each other.
+//! Loads and failures of replicas that routers tell each other.
 
 use std::time::{Duration, SystemTime};
 
 use teaselworks_policy::fleet::{Fleet, FleetSettings};
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::retry::BudgetSettings;
-use teaselworks_policy::upstream::{Change, Load, LoadReport, Upstream, Usual};
+use teaselworks_policy::upstream::{Change, Load, LoadReport, Symptom, Upstream, Usual};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -46,11 +46,17 @@
     );
     let report = LoadReport { running: 7, waiting: 1 };
     near.report(SECOND, "service", &upstream.incarnation(), report);
-    reader.hear_loads(SECOND * 3 / 2, &near.loads_after(SECOND * 3 / 2, Duration::ZERO, true));
-    assert!(reader.loads_after(2 * SECOND, Duration::ZERO, true).is_empty(), "it is not its own");
-    far.hear_loads(2 * SECOND, &reader.loads_after(2 * SECOND, Duration::ZERO, false));
+    reader.hear(SECOND * 3 / 2, &near.sightings_after(SECOND * 3 / 2, Duration::ZERO, true));
+    assert!(
+        reader.sightings_after(2 * SECOND, Duration::ZERO, true).is_empty(),
+        "it is not its own"
+    );
+    far.hear(2 * SECOND, &reader.sightings_after(2 * SECOND, Duration::ZERO, false));
     assert_eq!(load_at(&far, 2 * SECOND), Some(SECOND));
-    assert!(reader.loads_after(3 * SECOND, 2 * SECOND, false).is_empty(), "it was told already");
+    assert!(
+        reader.sightings_after(3 * SECOND, 2 * SECOND, false).is_empty(),
+        "it was told already"
+    );
 }
 
 /// Guards against the load of a replica's earlier start that is told of a later one.
@@ -63,6 +69,53 @@
     let mut current = fleet(&[before.clone(), after]);
     let report = LoadReport { running: 7, waiting: 1 };
     slow.report(SECOND, "service", &before.incarnation(), report);
-    current.hear_loads(SECOND, &slow.loads_after(SECOND, Duration::ZERO, true));
+    current.hear(SECOND, &slow.sightings_after(SECOND, Duration::ZERO, true));
     assert_eq!(load_at(&current, SECOND), None);
 }
+
+fn fail(fleet: &mut Fleet, now: Duration, times: u32) {
+    let upstream = Upstream::example("i-1", "service").incarnation();
+    for _ in 0..times {
+        fleet.end(now, "service", &upstream, Some(Symptom::Broken), SECOND / 10);
+    }
+}
+
+fn is_usable(fleet: &Fleet, now: Duration) -> bool {
+    fleet.pool("service").unwrap().members()[0].health.is_usable(now)
+}
+
+fn tell(from: &Fleet, to: &mut Fleet, now: Duration, after: Duration) -> usize {
+    to.hear(now, &from.sightings_after(now, after, true)).len()
+}
+
+/// Guards against many routers that each find a silent replica by themselves, and against one that
+/// stays ejected though another router is answered there.
+#[test]
+fn failures_at_two_routers_eject_a_replica_at_a_third_until_one_is_answered() {
+    let upstream = Upstream::example("i-1", "service");
+    let fleets = || fleet(std::slice::from_ref(&upstream));
+    let (mut first, mut second, mut third) = (fleets(), fleets(), fleets());
+    let now = 5 * SECOND;
+    fail(&mut first, now, 2);
+    fail(&mut second, now, 2);
+    assert_eq!(tell(&first, &mut third, now, SECOND), 0, "one router may be cut off");
+    assert_eq!(tell(&second, &mut third, now, SECOND), 1);
+    assert!(!is_usable(&third, now));
+    let later = now + SECOND / 2;
+    first.report(later, "service", &upstream.incarnation(), LoadReport { running: 1, waiting: 0 });
+    assert_eq!(tell(&first, &mut third, later, now), 1);
+    assert!(is_usable(&third, later));
+}
+
+/// Guards against routers that are cut off from a replica and take it from those that reach it.
+#[test]
+fn failures_of_what_was_sent_before_a_replica_was_heard_of_eject_nothing() {
+    let upstream = Upstream::example("i-1", "service");
+    let (mut cut_off, mut near) =
+        (fleet(std::slice::from_ref(&upstream)), fleet(std::slice::from_ref(&upstream)));
+    let now = 5 * SECOND;
+    fail(&mut cut_off, now, 8);
+    near.report(now, "service", &upstream.incarnation(), LoadReport { running: 1, waiting: 0 });
+    assert_eq!(tell(&cut_off, &mut near, now, SECOND), 0);
+    assert!(is_usable(&near, now));
+}
