A soak of the fleet under random faults from outside

Change: the soak starts real router processes before stand-ins, injects faults through proxies, signals, the store, replicas and the operator, and checks nine promises from what callers and replicas saw.

--- a/teaselworks_standin/src/lib.rs
+++ b/teaselworks_standin/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod program;
 pub mod proxy;
 pub mod router;
+pub mod soak;
 pub mod store;
 pub mod upstream;
--- /dev/null
+++ b/teaselworks_standin/src/soak/mod.rs
@@ -0,0 +1,98 @@
+//! A randomized soak: real router processes under faults that come from outside them, with the
+//! promises to callers checked from what callers and replicas saw.
+
+mod callers;
+mod checks;
+mod faults;
+mod fleet;
+mod record;
+
+use std::error::Error;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+
+pub use self::checks::Finding;
+use self::fleet::SoakFleet;
+pub use self::record::Plant;
+use self::record::Record;
+use crate::router::Program;
+
+/// Time without faults at the end, after which everything must be served again.
+const SETTLING: Duration = Duration::from_secs(8);
+
+/// What one soak does.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakSettings {
+    /// Seed of every random choice; scheduling of processes stays as it comes.
+    pub seed: u64,
+    /// Time for which faults are injected.
+    pub length: Duration,
+    /// Number of routers.
+    pub routers: usize,
+    /// Number of callers, each with one request at a time.
+    pub callers: usize,
+    /// A broken promise that is planted, to prove that its check sees it.
+    pub plant: Option<Plant>,
+}
+
+/// What a soak saw.
+#[derive(Clone, Debug, Default)]
+pub struct SoakReport {
+    /// Requests of callers.
+    pub requests: usize,
+    /// Requests that were answered whole.
+    pub answered: usize,
+    /// Refusals that promise that the request has not run.
+    pub refused: usize,
+    /// Faults that were injected, in order, with the time since the start.
+    pub faults: Vec<(Duration, String)>,
+    /// Promises that were broken.
+    pub findings: Vec<Finding>,
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} requests, {} answered, {} refused, {} faults, {} findings",
+            self.requests,
+            self.answered,
+            self.refused,
+            self.faults.len(),
+            self.findings.len()
+        )?;
+        for finding in &self.findings {
+            writeln!(f, "  {finding}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs a soak; fails only where processes could not be started.
+pub async fn soak(program: Program, settings: SoakSettings) -> Result<SoakReport, Box<dyn Error>> {
+    let record = Arc::new(Record::new(settings.plant));
+    let mut random = Pcg32::seed_from_u64(settings.seed);
+    let mut fleet = SoakFleet::start(program, settings.routers, &record).await?;
+    let callers = callers::start(&fleet, &record, settings.callers, settings.seed);
+    let faults = faults::play(&mut fleet, &record, settings.length, &mut random).await?;
+    let mut findings = Vec::new();
+    if settings.plant.is_none() {
+        fleet.mend().await?;
+        tokio::time::sleep(SETTLING).await;
+        findings.extend(callers::check_recovery(&fleet).await);
+    }
+    callers.stop().await;
+    findings.extend(checks::check(&record));
+    let counts = record.counts();
+    Ok(SoakReport {
+        requests: counts.requests,
+        answered: counts.answered,
+        refused: counts.refused,
+        faults,
+        findings,
+    })
+}
