A hot key at many routers in the model; spreading it by its rate was tried

Tried and reverted: routers count how often each key is asked for and choose at random among as many replicas as that takes.

--- a/teaselworks_model/src/caller.rs
+++ b/teaselworks_model/src/caller.rs
@@ -47,14 +47,16 @@
     for (number, kind) in load.kinds.iter().enumerate() {
         let expected = kind.per_s * load.pressure(now) * tick.as_secs_f64();
         for _ in 0..poisson(expected, random) {
-            calls.push(call(number, kind, now, random));
+            let is_hot = load.hot_share(&kind.name, now) > 0.0
+                && random.random_bool(load.hot_share(&kind.name, now));
+            calls.push(call(number, kind, is_hot, now, random));
         }
     }
     calls
 }
 
-fn call(number: usize, kind: &Kind, now: Duration, random: &mut Pcg32) -> Call {
-    let part = random.random_range(0..kind.shared_parts.max(1));
+fn call(number: usize, kind: &Kind, is_hot: bool, now: Duration, random: &mut Pcg32) -> Call {
+    let part = if is_hot { 0 } else { random.random_range(0..kind.shared_parts.max(1)) };
     let patience = 1.0 - kind.deadline_spread * random.random_range(0.0..1.0);
     Call {
         deadline: now + milliseconds(kind.deadline_ms * patience),
--- a/teaselworks_model/src/load.rs
+++ b/teaselworks_model/src/load.rs
@@ -1,6 +1,7 @@
 //! A recorded load: who asks for what, how hard, and what fails meanwhile.
 
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -27,6 +28,9 @@
     /// Times in which engines are dark.
     #[serde(default)]
     pub dark: Vec<Dark>,
+    /// Times in which many requests share one part.
+    #[serde(default)]
+    pub hot: Vec<Hot>,
 }
 
 /// Engines, all alike.
@@ -58,7 +62,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Kind {
     /// Name.
-    pub name: String,
+    pub name: Arc<str>,
     /// Requests a second.
     pub per_s: f64,
     /// Different shared parts, all asked for alike.
@@ -102,6 +106,20 @@
     pub share: f64,
 }
 
+/// A time in which many requests of a kind share one part.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Hot {
+    /// Its start.
+    pub at_s: f64,
+    /// Its length.
+    pub for_s: f64,
+    /// The kind.
+    pub kind: String,
+    /// Part of its requests.
+    pub share: f64,
+}
+
 /// Why a load could not be read.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LoadError(String);
@@ -135,6 +153,13 @@
         presses.map(|press| press.times).fold(1.0, f64::max)
     }
 
+    /// Returns the part of the requests of a kind that share one part at a time.
+    pub(crate) fn hot_share(&self, kind: &str, now: Duration) -> f64 {
+        let now_s = now.as_secs_f64();
+        let is_hot = |hot: &&Hot| *hot.kind == *kind && is_within(now_s, hot.at_s, hot.for_s);
+        self.hot.iter().filter(is_hot).map(|hot| hot.share).fold(0.0, f64::max)
+    }
+
     /// Tells whether an engine is dark at a time.
     pub(crate) fn is_dark(&self, engine: u32, now: Duration) -> bool {
         let now_s = now.as_secs_f64();
--- a/teaselworks_model/src/router.rs
+++ b/teaselworks_model/src/router.rs
@@ -39,7 +39,7 @@
 pub(crate) fn route(load: &Load, kind: usize) -> Route {
     let kind = &load.kinds[kind];
     Route {
-        name: kind.name.as_str().into(),
+        name: kind.name.clone(),
         target_latency: milliseconds(kind.aim_ms),
         timeout: milliseconds(kind.deadline_ms),
         has_prompts: true,
--- a/teaselworks_model/src/run.rs
+++ b/teaselworks_model/src/run.rs
@@ -267,7 +267,9 @@
     }
 
     fn on_done(&mut self, call: usize) {
-        let Some(_) = self.end(call, Some(Symptom::Answered)) else { return };
+        let Some(sent) = self.end(call, Some(Symptom::Answered)) else { return };
+        let route = &self.routes[self.calls[call].kind].name;
+        self.routers[sent.router].on_answered(route, self.now.saturating_sub(sent.at));
         if self.calls[call].is_in_time(self.load) {
             self.count(call, |window| &mut window.in_time);
         } else {
--- a/teaselworks_model/tests/loads.rs
+++ b/teaselworks_model/tests/loads.rs
@@ -10,6 +10,7 @@
 const MANY_ROUTERS: &str = include_str!("../loads/many-routers.jsonc");
 const MANY_ROUTERS_BURST: &str = include_str!("../loads/many-routers-burst.jsonc");
 const MANY_ROUTERS_DARK: &str = include_str!("../loads/many-routers-dark.jsonc");
+const MANY_ROUTERS_HOT_KEY: &str = include_str!("../loads/many-routers-hot-key.jsonc");
 const DARK_THIRD: &str = include_str!("../loads/dark-third.jsonc");
 
 fn replay(text: &str, check: impl Fn(&Outcome)) {
@@ -131,3 +132,13 @@
         assert!(in_time(outcome, 10, 14) > 0.97);
     });
 }
+
+/// Guards against many routers that all send a hot key to its first replica before any report shows
+/// it full.
+#[test]
+fn many_routers_spread_a_hot_key() {
+    replay(MANY_ROUTERS_HOT_KEY, |outcome| {
+        let beyond = outcome.totals.beyond_bound as f64 / outcome.totals.reached as f64;
+        assert!(beyond < 0.03, "{beyond}");
+    });
+}
