Experiments weigh variants of recorded loads side by side

Cause: alternatives were weighed by editing constants and reading test output; nothing showed variants beside each other, or how much the routers' late knowledge costs.

Change: teaselworks experiment FILE plays loads in variants with many seeds in parallel, prints a table and writes CSV and plots. The model counts waits by kind, reuse, and the busiest engine.

Not built: a file at 410 routers, variants of single decisions other than placing, decisions a second, fairness between workspaces (the model has none).

--- a/teaselworks/src/cli/command.rs
+++ b/teaselworks/src/cli/command.rs
@@ -21,7 +21,7 @@
 /// assert_eq!(matches.subcommand_name(), Some("events"));
 /// ```
 pub fn command() -> Command {
-    Command::new(NAME)
+    let command = Command::new(NAME)
         .version(env!("CARGO_PKG_VERSION"))
         .about("Routes returning chats from many workspaces to a shared fleet of model engines")
         .subcommand_required(true)
@@ -31,7 +31,10 @@
         .subcommand(check())
         .subcommand(events())
         .subcommand(completions())
-        .subcommand(man())
+        .subcommand(man());
+    #[cfg(feature = "experiment")]
+    let command = command.subcommand(experiment());
+    command
 }
 
 fn exit_codes() -> String {
@@ -79,6 +82,21 @@
         .after_help("Example:\n  teaselworks events --json")
 }
 
+#[cfg(feature = "experiment")]
+fn experiment() -> Command {
+    let file = Arg::new("file").value_name("FILE").required(true);
+    let out = Arg::new("out").long("out").value_name("FOLDER");
+    Command::new("experiment")
+        .about("Play recorded loads against the decisions, in variants and with many seeds")
+        .arg(file.value_parser(value_parser!(PathBuf)).help("Experiment, JSON with comments"))
+        .arg(out.value_parser(value_parser!(PathBuf)).help("Folder for CSV and plots"))
+        .after_help(
+            "A table of means is printed.\n\n\
+             Example:\n  \
+             teaselworks experiment teaselworks_model/experiments/placing.jsonc --out /tmp",
+        )
+}
+
 fn completions() -> Command {
     let shell =
         Arg::new("shell").value_name("SHELL").required(true).value_parser(value_parser!(Shell));
--- a/teaselworks/src/cli/failure.rs
+++ b/teaselworks/src/cli/failure.rs
@@ -5,6 +5,8 @@
 
 use super::ExitCode;
 use crate::daemon::StartError;
+#[cfg(feature = "experiment")]
+use crate::experiment::ExperimentError;
 use crate::settings::Faults;
 
 /// Why a command failed.
@@ -16,6 +18,9 @@
     Settings(Faults),
     /// The router could not start.
     Start(StartError),
+    /// The experiment could not be made.
+    #[cfg(feature = "experiment")]
+    Experiment(ExperimentError),
     /// There is no manual page of this name.
     NoPage(String),
 }
@@ -27,6 +32,8 @@
             Failure::Settings(_) => ExitCode::Refused,
             Failure::NoPage(_) => ExitCode::Usage,
             Failure::Output(_) | Failure::Start(_) => ExitCode::Failure,
+            #[cfg(feature = "experiment")]
+            Failure::Experiment(_) => ExitCode::Failure,
         }
     }
 }
@@ -37,6 +44,8 @@
             Failure::Output(error) => write!(f, "cannot write: {error}"),
             Failure::Settings(faults) => write!(f, "{faults}"),
             Failure::Start(error) => write!(f, "{error}"),
+            #[cfg(feature = "experiment")]
+            Failure::Experiment(error) => write!(f, "{error}"),
             Failure::NoPage(page) => write!(f, "there is no page {page}"),
         }
     }
@@ -54,6 +63,13 @@
     }
 }
 
+#[cfg(feature = "experiment")]
+impl From<ExperimentError> for Failure {
+    fn from(error: ExperimentError) -> Self {
+        Failure::Experiment(error)
+    }
+}
+
 impl From<StartError> for Failure {
     fn from(error: StartError) -> Self {
         Failure::Start(error)
--- a/teaselworks/src/cli/mod.rs
+++ b/teaselworks/src/cli/mod.rs
@@ -4,6 +4,8 @@
 mod command;
 mod events;
 mod exit;
+#[cfg(feature = "experiment")]
+mod experiment;
 mod failure;
 mod router;
 
@@ -55,6 +57,8 @@
         Some(("router", matches)) => router::run(matches),
         Some(("check", matches)) => check::run(matches, out),
         Some(("events", matches)) => events::run(matches, out),
+        #[cfg(feature = "experiment")]
+        Some(("experiment", matches)) => experiment::run(matches, out),
         Some(("completions", matches)) => command::write_completions(matches, out),
         Some(("man", matches)) => command::write_man(matches, out),
         _ => unreachable!("clap requires one of the commands"),
--- a/teaselworks/src/lib.rs
+++ b/teaselworks/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod cli;
 pub mod daemon;
 pub mod event;
+#[cfg(feature = "experiment")]
+pub mod experiment;
 pub mod kernel;
 pub mod metrics;
 pub mod net;
--- a/teaselworks_model/src/lib.rs
+++ b/teaselworks_model/src/lib.rs
@@ -11,6 +11,6 @@
 mod router;
 mod run;
 
-pub use self::load::{Dark, Engines, Hot, Kind, Load, LoadError, Press};
+pub use self::load::{Dark, Engines, Hot, Kind, Load, LoadError, Placing, Press};
 pub use self::result::{Outcome, Totals, Window};
 pub use self::run::run;
--- a/teaselworks_model/src/load.rs
+++ b/teaselworks_model/src/load.rs
@@ -31,6 +31,20 @@
     /// Times in which many requests share one part.
     #[serde(default)]
     pub hot: Vec<Hot>,
+    /// How routers place requests.
+    #[serde(default)]
+    pub placing: Placing,
+}
+
+/// How routers place requests.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum Placing {
+    /// By prompt and load, as routers do.
+    #[default]
+    Reuse,
+    /// By load alone, as for services without prompts.
+    LeastLoad,
 }
 
 /// Engines, all alike.
--- a/teaselworks_model/src/router.rs
+++ b/teaselworks_model/src/router.rs
@@ -13,7 +13,7 @@
 use teaselworks_policy::verdict::Refusal;
 
 use crate::caller::{Call, milliseconds};
-use crate::load::Load;
+use crate::load::{Load, Placing};
 
 /// Service of the engines.
 pub(crate) const SERVICE: &str = "engines";
@@ -89,7 +89,7 @@
         output_tokens: kind.answer_tokens,
     };
     let demand = Demand {
-        prompt: Some(&prompt),
+        prompt: Some(&prompt).filter(|_| load.placing == Placing::Reuse),
         zone: ZONE,
         tried,
         remaining,
--- a/teaselworks_model/src/run.rs
+++ b/teaselworks_model/src/run.rs
@@ -225,7 +225,9 @@
             own_tokens: kind.own_tokens,
             answer_tokens,
         };
+        let shared_tokens = u64::from(job.shared_tokens);
         if self.engines[engine].offer(job, is_held) {
+            self.outcome.totals.shared_tokens += shared_tokens;
             return;
         }
         self.end(call, Some(Symptom::Failed));
@@ -240,6 +242,8 @@
         let totals = &mut self.outcome.totals;
         totals.reached += 1;
         totals.beyond_bound += u64::from(self.engines[engine].holds() as f64 > 2.0 * mean + 3.0);
+        let busiest = self.engines.iter().map(Engine::holds).max().unwrap_or(0);
+        totals.busiest_percent += (100.0 * busiest as f64 / mean.max(1.0)) as u64;
     }
 
     fn work(&mut self) {
@@ -270,6 +274,10 @@
         let Some(sent) = self.end(call, Some(Symptom::Answered)) else { return };
         let route = &self.routes[self.calls[call].kind].name;
         self.routers[sent.router].on_answered(route, self.now.saturating_sub(sent.at));
+        let Call { kind, asked_at, first_at, .. } = self.calls[call];
+        let wait = first_at.unwrap_or(self.now).saturating_sub(asked_at);
+        let waits = self.outcome.waits_ms.entry(self.load.kinds[kind].name.to_string());
+        waits.or_default().push(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
         if self.calls[call].is_in_time(self.load) {
             self.count(call, |window| &mut window.in_time);
         } else {
