--- a/teaselworks/src/metrics.rs
+++ b/teaselworks/src/metrics.rs
@@ -116,7 +116,7 @@
                 self.refusals.add(0, &refusal_labels(reason, verdict));
             }
         }
-        for reason in RetryReason::ALL {
+        for reason in RetryReason::all() {
             self.retries.add(0, &[KeyValue::new("reason", reason.as_str())]);
         }
         for counter in
--- a/teaselworks/src/relay/serving.rs
+++ b/teaselworks/src/relay/serving.rs
@@ -156,7 +156,7 @@
         event::ATTEMPT_FAILED.log(&[
             event::text("request", &self.prepared.facts.id),
             event::text("upstream", &self.tried.last().map_or("", |id| id)),
-            event::text("failure", &RetryReason::from(failure).as_str()),
+            event::text("failure", &failure.as_str()),
             event::text("verdict", &failure.verdict()),
             event::text("reason", &refusal.reason),
             event::number("attempt", self.attempts().into()),
--- a/teaselworks_policy/src/retry/decision.rs
+++ b/teaselworks_policy/src/retry/decision.rs
@@ -32,6 +32,38 @@
 }
 
 impl Failure {
+    /// Every failure, in the order of the metrics.
+    pub const ALL: [Failure; 8] = [
+        Failure::Unreachable,
+        Failure::NotSent,
+        Failure::Rejected,
+        Failure::Moved,
+        Failure::Broken,
+        Failure::Foreign,
+        Failure::Failed,
+        Failure::Silent,
+    ];
+
+    /// Returns the name in metrics and logs.
+    ///
+    /// ```
+    /// use teaselworks_policy::retry::Failure;
+    ///
+    /// assert_eq!(Failure::Unreachable.as_str(), "unreachable");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Failure::Unreachable => "unreachable",
+            Failure::NotSent => "not_sent",
+            Failure::Rejected => "rejected",
+            Failure::Moved => "moved",
+            Failure::Broken => "broken",
+            Failure::Foreign => "foreign",
+            Failure::Failed => "failed",
+            Failure::Silent => "silent",
+        }
+    }
+
     /// Tells whether the request may have been executed.
     ///
     /// ```
@@ -60,77 +92,33 @@
 /// Why a request is sent again; each reason has a counter of its own.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RetryReason {
-    /// No connection could be opened.
-    Unreachable,
-    /// A kept connection was closed before the request was written.
-    NotSent,
-    /// The upstream did not execute it.
-    Rejected,
-    /// Another upstream has the address.
-    Moved,
-    /// The connection broke.
-    Broken,
-    /// The answer was not one to this request.
-    Foreign,
-    /// The upstream failed.
-    Failed,
-    /// Nothing came.
-    Silent,
+    /// An attempt failed before its answer had begun.
+    Failed(Failure),
     /// A stream broke off and goes on after its last event.
     Resumed,
 }
 
 impl RetryReason {
-    /// Every reason, in the order of the metrics.
-    pub const ALL: [RetryReason; 9] = [
-        RetryReason::Unreachable,
-        RetryReason::NotSent,
-        RetryReason::Rejected,
-        RetryReason::Moved,
-        RetryReason::Broken,
-        RetryReason::Foreign,
-        RetryReason::Failed,
-        RetryReason::Silent,
-        RetryReason::Resumed,
-    ];
+    /// Returns every reason, in the order of the metrics.
+    pub fn all() -> impl Iterator<Item = RetryReason> {
+        Failure::ALL.into_iter().map(RetryReason::Failed).chain([RetryReason::Resumed])
+    }
 
     /// Returns the name in metrics and logs.
     ///
     /// ```
-    /// use teaselworks_policy::retry::RetryReason;
+    /// use teaselworks_policy::retry::{Failure, RetryReason};
     ///
-    /// assert_eq!(RetryReason::NotSent.as_str(), "not_sent");
+    /// assert_eq!(RetryReason::Failed(Failure::NotSent).as_str(), "not_sent");
     /// ```
     pub fn as_str(self) -> &'static str {
         match self {
-            RetryReason::Unreachable => "unreachable",
-            RetryReason::NotSent => "not_sent",
-            RetryReason::Rejected => "rejected",
-            RetryReason::Moved => "moved",
-            RetryReason::Broken => "broken",
-            RetryReason::Foreign => "foreign",
-            RetryReason::Failed => "failed",
-            RetryReason::Silent => "silent",
+            RetryReason::Failed(failure) => failure.as_str(),
             RetryReason::Resumed => "resumed",
         }
     }
 }
 
-impl From<Failure> for RetryReason {
-    fn from(failure: Failure) -> Self {
-        match failure {
-            Failure::Unreachable => RetryReason::Unreachable,
-            Failure::NotSent => RetryReason::NotSent,
-            Failure::Rejected => RetryReason::Rejected,
-            Failure::Moved => RetryReason::Moved,
-            Failure::Broken => RetryReason::Broken,
-            Failure::Foreign => RetryReason::Foreign,
-            Failure::Failed => RetryReason::Failed,
-            Failure::Silent => RetryReason::Silent,
-        }
-    }
-}
-
 /// What is known about a request when an attempt of it has failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Attempts {
@@ -177,7 +165,7 @@
     let has_time = attempts.remaining >= LEAST_TIME;
     let has_attempts = attempts.offers < OFFERS && attempts.runs < attempts.max_runs;
     if has_time && has_attempts && verdict.retry_is_safe(attempts.may_repeat) {
-        return Next::Retry { reason: failure.into(), is_repeat: failure.was_sent() };
+        return Next::Retry { reason: RetryReason::Failed(failure), is_repeat: failure.was_sent() };
     }
     let reason = match failure {
         _ if !has_time => RefusalReason::Deadline,
--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use teaselworks_policy::placement::{
-    Demand, Part, PlacementSettings, Prompt, Reason, identity, place, score,
+    Demand, Part, Placement, PlacementSettings, Prompt, Reason, identity, place, score,
 };
 use teaselworks_policy::upstream::{Incarnation, LoadReport, Pool, Symptom, Upstream};
 use teaselworks_policy::verdict::RefusalReason;
@@ -236,10 +236,8 @@
 #[test]
 fn a_replica_is_told_who_held_the_prompt_before() {
     for key in 10..200 {
-        let prompt = prompt(key);
         let mut pool = pool(6, 48);
-        let demand = demand(Some(&prompt));
-        let place = |pool: &Pool| place(pool, NOW, &demand, &SETTINGS, &mut random()).unwrap();
+        let place = |pool: &Pool| place_key(pool, key);
         let home = place(&pool);
         let second = home.holder.unwrap();
         assert_ne!(second, home.upstream.address);
@@ -290,14 +288,18 @@
     assert_eq!((member.mean_time, member.health.failed_share()), (None, 0.0));
 }
 
+/// Places a request with a key.
+fn place_key(pool: &Pool, key: u64) -> Placement {
+    let prompt = prompt(key);
+    place(pool, NOW, &demand(Some(&prompt)), &SETTINGS, &mut random()).unwrap()
+}
+
 /// Guards against copies of prompts from a replica that lost them as it started again.
 #[test]
 fn a_replica_that_started_again_holds_no_prompt_until_it_has_answered() {
     for key in 10..60 {
-        let prompt = prompt(key);
         let mut pool = pool(6, 48);
-        let demand = demand(Some(&prompt));
-        let place = |pool: &Pool| place(pool, NOW, &demand, &SETTINGS, &mut random()).unwrap();
+        let place = |pool: &Pool| place_key(pool, key);
         let home = place(&pool).upstream;
         for _ in 0..30 {
             pool.begin(NOW, &home.incarnation());
@@ -318,10 +320,8 @@
 #[test]
 fn a_suspended_replica_gets_no_request_and_lends_no_prompt() {
     for key in 10..60 {
-        let prompt = prompt(key);
         let mut pool = pool(6, 48);
-        let demand = demand(Some(&prompt));
-        let place = |pool: &Pool| place(pool, NOW, &demand, &SETTINGS, &mut random()).unwrap();
+        let place = |pool: &Pool| place_key(pool, key);
         let home = place(&pool).upstream;
         pool.suspend(&home.id);
         let other = place(&pool);
