--- a/teaselworks/src/daemon/reload.rs
+++ b/teaselworks/src/daemon/reload.rs
@@ -20,7 +20,14 @@
 pub struct HangUps(Signal);
 
 impl HangUps {
-    /// Catches it; fails outside a runtime, or where the system refuses.
+    /// Catches it; fails where the system refuses. Needs a runtime.
+    ///
+    /// ```
+    /// use teaselworks::daemon::HangUps;
+    ///
+    /// let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    /// assert!(runtime.block_on(async { HangUps::catch() }).is_ok());
+    /// ```
     pub fn catch() -> Result<Self, StartError> {
         Ok(Self(signal(SignalKind::hangup()).map_err(StartError::Signal)?))
     }
--- a/teaselworks/src/experiment/mod.rs
+++ b/teaselworks/src/experiment/mod.rs
@@ -54,6 +54,13 @@
 /// named.
 ///
 /// Fails where a file cannot be read, understood or written.
+///
+/// ```
+/// use std::path::Path;
+/// use teaselworks::experiment::play;
+///
+/// assert!(play(Path::new("no-such-file.jsonc"), None, &mut Vec::new()).is_err());
+/// ```
 pub fn play(
     file: &Path,
     folder: Option<&Path>,
--- a/teaselworks/src/net.rs
+++ b/teaselworks/src/net.rs
@@ -29,6 +29,18 @@
 }
 
 /// Opens a connection; fails with [`io::ErrorKind::TimedOut`] where that takes longer than `longest`.
+///
+/// ```
+/// use std::time::Duration;
+/// use teaselworks::net;
+///
+/// # let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+/// # runtime.block_on(async {
+/// let listener = net::listen(([127, 0, 0, 1], 0).into()).unwrap();
+/// let address = listener.local_addr().unwrap();
+/// assert!(net::connect_within(address, Duration::from_secs(9)).await.is_ok());
+/// # });
+/// ```
 pub async fn connect_within(address: SocketAddr, longest: Duration) -> io::Result<TcpStream> {
     let stream = tokio::time::timeout(longest, TcpStream::connect(address))
         .await
