The soak records the cuts that it makes itself at the end

Faults end in a calm time there, and the soak then cuts every connection to mend the fleet, which it did not record as a fault.

Change: mending is recorded like any other unplanned fault. No check changed.

--- a/teaselworks_standin/src/soak/mod.rs
+++ b/teaselworks_standin/src/soak/mod.rs
@@ -81,7 +81,10 @@
     let faults = faults::play(&mut fleet, &record, settings.length, &mut random).await?;
     let mut findings = Vec::new();
     if settings.plant.is_none() {
+        // Connections are cut for it, also those of requests in progress.
+        let mending = record.open(None, false);
         fleet.mend().await?;
+        record.close(mending);
         tokio::time::sleep(SETTLING).await;
         findings.extend(callers::check_recovery(&fleet).await);
     }
