Large answers of the store are read for as long as more of them arrives

By its log the store did not answer in time from 28.9 s on: after two configurations of 1,400 routes more an answer takes longer than the 1.5 s in which it had to be whole; it was given up, asked for again, and other routers were asked for the same, which timed out too.

Ruled out: the store (stable since 25.3 s), the routers that read for others (each reads such news itself).

Change: the time counts until the answer begins, and then for each part of it.

--- a/teaselworks/src/platform/store.rs
+++ b/teaselworks/src/platform/store.rs
@@ -6,9 +6,10 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
+use bytes::{Bytes, BytesMut};
+use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use serde::de::IgnoredAny;
@@ -19,8 +20,8 @@
 use super::{Item, StoreError};
 use crate::net;
 
-/// Longest wait for an answer to a call; one that is given up is only made again, so a slow store is
-/// waited for.
+/// Longest wait for an answer to a call, and for more of one that has begun; one that is given up is
+/// only made again, so a slow store is waited for, and a small link that carries a large answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time beyond the agreed wait after which a watch counts as dead.
 const WATCH_SLACK: Duration = Duration::from_millis(500);
@@ -244,12 +245,13 @@
         body: Option<Bytes>,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        let call = self.exchange(method, path, body);
-        let result = tokio::time::timeout(timeout, call).await.unwrap_or(Err(StoreError::Timeout));
-        if result.is_err() {
-            self.sender = None;
-        }
-        result
+        let sent = self.exchange(method, path, body);
+        let sent = tokio::time::timeout(timeout, sent).await.unwrap_or(Err(StoreError::Timeout));
+        let (sender, answer) = sent?;
+        let status = answer.status();
+        let body = read_body(answer.into_body()).await?;
+        self.sender = Some(sender);
+        Ok((status, body))
     }
 
     async fn exchange(
@@ -257,7 +259,7 @@
         method: Method,
         path: &str,
         body: Option<Bytes>,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<(SendRequest<Full<Bytes>>, Response<Incoming>), StoreError> {
         let mut request = Request::builder()
             .method(method)
             .uri(path)
@@ -274,10 +276,7 @@
         };
         sender.ready().await.map_err(|_| StoreError::Broken)?;
         let answer = sender.send_request(request).await.map_err(|_| StoreError::Broken)?;
-        let status = answer.status();
-        let body = answer.into_body().collect().await.map_err(|_| StoreError::Broken)?.to_bytes();
-        self.sender = Some(sender);
-        Ok((status, body))
+        Ok((sender, answer))
     }
 
     async fn open(&self) -> Result<SendRequest<Full<Bytes>>, StoreError> {
@@ -291,6 +290,20 @@
     }
 }
 
+/// Reads a body for as long as more of it arrives.
+async fn read_body(mut body: Incoming) -> Result<Bytes, StoreError> {
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(CALL_TIMEOUT, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| StoreError::Timeout)? else {
+            return Ok(bytes.freeze());
+        };
+        if let Ok(data) = frame.map_err(|_| StoreError::Broken)?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+}
+
 impl WireItem {
     fn read(self) -> Item {
         let value = match self.value {
--- a/teaselworks/tests/news.rs
+++ b/teaselworks/tests/news.rs
@@ -11,7 +11,7 @@
 use teaselworks_standin::fleet::{Fleet, until};
 use teaselworks_standin::proxy::Proxy;
 use teaselworks_standin::router::Router;
-use teaselworks_standin::store::Mode;
+use teaselworks_standin::store::{Mode, Store};
 use teaselworks_standin::upstream::{Script, Upstream};
 
 async fn status(router: &Router, target: &str, id: &str) -> u16 {
@@ -293,3 +293,22 @@
         assert!(!router.logged("registered", 1).await.unwrap().is_empty());
     }
 }
+
+/// Guards against a configuration that is too large to be read over a small link in the time of one
+/// call, so that the router asks for it again and again and never has it.
+#[tokio::test]
+async fn a_large_configuration_reaches_a_router_on_a_small_link() {
+    let store = Store::start().unwrap();
+    let link = Proxy::start(store.address()).unwrap();
+    let mut plan = Plan::default();
+    store.put_json("op/config", &plan.value);
+    let router = Router::start(program(), "router-0", link.address(), &[], &json!({})).unwrap();
+    router.logged("configuration_in_force", 1).await.unwrap();
+    link.set_faults(|faults| faults.backward.bytes_per_s = Some(150_000));
+    for number in 0..2_000 {
+        plan.route(&format!("/many/{number}/"), "safe", ARCHIVE, 2);
+    }
+    plan.next_version();
+    store.put_json("op/config", &plan.value);
+    router.logged("configuration_in_force", 2).await.unwrap();
+}
