--- a/teaselworks_standin/src/soak/faults.rs
+++ b/teaselworks_standin/src/soak/faults.rs
@@ -98,7 +98,7 @@
             Fault::Stop(router)
             | Fault::Reload(router)
             | Fault::Kill(router)
-            | Fault::Pause(router) => format!("router-{router}"),
+            | Fault::Pause(router) => router_target(router),
             Fault::Replace(replica)
             | Fault::Overwrite(replica)
             | Fault::Restart(replica)
@@ -127,6 +127,10 @@
     }
 }
 
+fn router_target(router: usize) -> String {
+    format!("router-{router}")
+}
+
 struct Active {
     fault: Fault,
     until: Duration,
@@ -191,7 +195,7 @@
     active: &[Active],
 ) -> Result<(), Box<dyn Error>> {
     for (number, router) in fleet.routers.iter_mut().enumerate() {
-        let target = Fault::Kill(number).target();
+        let target = router_target(number);
         let is_expected = active.iter().any(|one| one.fault.target() == target);
         if is_expected || !router.process.has_ended()? {
             continue;
