Model: loads with more routers than engines, and callers that belong to a router

Cause: the recorded loads end at 70 routers and 90 engines, and each attempt reached a random router. On the platform a caller keeps its connections, so that routers differ in how many callers they have, and there are fleets with more routers than engines. Change: a load may state its number of callers, each of which sends first attempts to one router.

--- a/teaselworks_model/src/load.rs
+++ b/teaselworks_model/src/load.rs
@@ -14,8 +14,11 @@
 pub struct Load {
     /// Time during which callers send requests.
     pub length_s: f64,
-    /// Number of routers; each attempt of a request goes to a random one.
+    /// Number of routers.
     pub routers: u32,
+    /// Number of callers, each of which sends first attempts to one router, drawn by chance. If it
+    /// is missing, each attempt of a request goes to a random router, as retries always do.
+    pub callers: Option<u32>,
     /// One-way network delay between a router and an engine.
     #[serde(rename = "way_ms")]
     pub one_way_delay_ms: f64,
--- a/teaselworks_model/src/run.rs
+++ b/teaselworks_model/src/run.rs
@@ -71,6 +71,8 @@
     now: Duration,
     /// State from which each router makes its decisions.
     routers: Vec<Fleet>,
+    /// Router that each caller sends its first attempts to.
+    router_by_caller: Vec<usize>,
     engines: Vec<Engine>,
     /// Whether each engine is down.
     is_down: Vec<bool>,
@@ -90,14 +92,19 @@
 impl<'a> Simulation<'a> {
     /// Creates the state at time zero; `seed` determines all random decisions.
     fn new(load: &'a Load, seed: u64) -> Self {
+        let mut random = Pcg32::seed_from_u64(seed);
+        let router_count = load.routers as usize;
+        let router_by_caller =
+            (0..load.callers.unwrap_or(0)).map(|_| random.random_range(0..router_count)).collect();
         let routers =
             (0..load.routers).map(|number| router::new_router(load, number, seed)).collect();
         let engines = (0..load.engines.count).map(|_| Engine::new(load.engines)).collect();
         Self {
             load,
-            random: Pcg32::seed_from_u64(seed),
+            random,
             now: Duration::ZERO,
             routers,
+            router_by_caller,
             engines,
             is_down: vec![false; load.engines.count as usize],
             routes: (0..load.kinds.len()).map(|kind| router::route_for_kind(load, kind)).collect(),
@@ -179,7 +186,7 @@
         match *event {
             Event::ReachRouter(request) => {
                 self.requests[request].attempts += 1;
-                let router = self.random.random_range(0..self.routers.len());
+                let router = self.choose_router(request);
                 let kind = self.requests[request].kind;
                 let remaining = self.requests[request].deadline.saturating_sub(self.now);
                 let fleet = &mut self.routers[router];
@@ -195,6 +202,15 @@
         }
     }
 
+    /// Returns the router that the current attempt of a request reaches.
+    fn choose_router(&mut self, request: usize) -> usize {
+        let callers = self.router_by_caller.len();
+        if callers == 0 || self.requests[request].attempts > 1 {
+            return self.random.random_range(0..self.routers.len());
+        }
+        self.router_by_caller[self.random.random_range(0..callers)]
+    }
+
     /// Lets a router choose an engine for a request, and sends the request there.
     fn place(&mut self, request: usize, router: usize, mut tried: Vec<Arc<str>>, is_late: bool) {
         let fleet = &mut self.routers[router];
