Routers of a large fleet keep to their share of the free slots

Cause: in a burst the first load report that shows it is half a second old. Until then each router sent whatever it got, and its concurrency limit began only once answers were late: with 295 routers 7,400 requests were in progress at 3,072 slots after one second, and the limits, falling by a tenth for each late answer, stood at their minimum only after four. Change: a router that knows the loads from other routers may have in progress what it had at the time of the reports and its share of the room that they show, at least its share of 1.2 requests a slot. The share follows its part of the requests in progress over five seconds, since callers are spread unevenly. Fleets without shared reports decide as before.

--- a/teaselworks_model/tests/loads.rs
+++ b/teaselworks_model/tests/loads.rs
@@ -12,6 +12,7 @@
 const MANY_ROUTERS_BURST: &str = include_str!("../loads/many-routers-burst.jsonc");
 const MANY_ROUTERS_DARK: &str = include_str!("../loads/many-routers-dark.jsonc");
 const MANY_ROUTERS_HOT_KEY: &str = include_str!("../loads/many-routers-hot-key.jsonc");
+const HUNDREDS_OF_ROUTERS_BURST: &str = include_str!("../loads/hundreds-of-routers-burst.jsonc");
 const COLD_HOT_KEY: &str = include_str!("../loads/cold-hot-key.jsonc");
 const DARK_THIRD: &str = include_str!("../loads/dark-third.jsonc");
 
@@ -152,6 +153,19 @@
     });
 }
 
+/// Guards against a burst after whose first second hardly anything is served: hundreds of routers
+/// fill the queues before any load report shows the burst, and then refuse nearly all requests
+/// until the queues are empty. The engines can finish 0.31 of the requests in the burst.
+#[test]
+fn hundreds_of_routers_serve_half_of_what_engines_can_in_a_burst() {
+    simulate(HUNDREDS_OF_ROUTERS_BURST, |outcome| {
+        for at in [4, 6, 8] {
+            assert!(in_time_share(outcome, at, at + 2) > 0.31 / 2.0, "window at {at} s");
+        }
+        assert!(in_time_share(outcome, 14, 18) > 0.95);
+    });
+}
+
 /// Guards against prompts that are copied to other engines although the engines are nearly idle.
 #[test]
 fn a_lightly_loaded_service_copies_few_cached_prompts() {
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -209,8 +209,8 @@
         };
         match place(pool, now, request, &settings, &mut self.random) {
             Ok(placement) => {
+                pool.on_placed(now, &placement.service_load);
                 pool.begin_request(now, &placement.upstream.incarnation());
-                pool.schedule.on_placed(now);
                 Ok(placement)
             }
             Err(refusal) if refusal.reason.is_overload() => {
--- a/teaselworks_policy/src/placement/admission.rs
+++ b/teaselworks_policy/src/placement/admission.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use super::scan::Scan;
 use super::{PlacementRequest, PlacementSettings};
 use crate::upstream::{AverageLoad, Member, Pool};
 use crate::verdict::RefusalReason;
@@ -16,21 +17,28 @@
 /// Returns the reason to refuse a request whichever replica it would go to, or `None` to admit it.
 ///
 /// While nearly all slots of the service are taken, callers that can still be answered in time have
-/// priority over late callers, which were probably refused before and are retrying. A request that
-/// has started is always admitted.
+/// priority over late callers, which were probably refused before and are retrying. A router that
+/// knows the loads from other routers keeps to its share of the slots, others to their concurrency
+/// limit. A request that has started is always admitted.
 pub(super) fn service_refusal(
     pool: &Pool,
     now: Duration,
-    is_nearly_full: bool,
+    scan: &Scan<'_>,
     request: &PlacementRequest<'_>,
 ) -> Option<RefusalReason> {
     if request.has_started {
         return None;
     }
-    if is_nearly_full && request.is_late {
+    let load = scan.service_load();
+    if load.is_nearly_full() && request.is_late {
         return Some(RefusalReason::LateCaller);
     }
-    pool.is_saturated(now, is_nearly_full).then_some(RefusalReason::Limited)
+    let is_limited = if load.has_shared_reports {
+        pool.is_share_used(&load)
+    } else {
+        pool.is_saturated(now, load.is_nearly_full())
+    };
+    is_limited.then_some(RefusalReason::Limited)
 }
 
 /// Tells whether a request would wait at the replica for longer than it may.
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -13,7 +13,7 @@
 
 use super::scan::Scan;
 use super::{Prompt, admission};
-use crate::upstream::{AverageLoad, Member, Pool, Upstream};
+use crate::upstream::{AverageLoad, Member, Pool, ServiceLoad, Upstream};
 use crate::verdict::{Refusal, RefusalReason};
 
 /// Retry-after time for a service without a replica that the request may be sent to: an ejected
@@ -108,6 +108,8 @@
     pub report_age: Option<Duration>,
     /// Address of another replica that may have more of the prompt cached.
     pub holder: Option<SocketAddr>,
+    /// Load of the service before the request was placed.
+    pub service_load: ServiceLoad,
 }
 
 /// Chooses a replica for a request.
@@ -146,7 +148,7 @@
         let retry_after = NO_CANDIDATE_RETRY_AFTER.min(request.max_retry_after);
         return Err(Refusal::not_run(RefusalReason::NoReplica, Some(retry_after)));
     };
-    if let Some(reason) = admission::service_refusal(pool, now, scan.is_nearly_full(), request) {
+    if let Some(reason) = admission::service_refusal(pool, now, &scan, request) {
         return Err(Refusal::not_run(reason, None));
     }
     let mut choice = match key {
@@ -160,7 +162,7 @@
             may_spill_over.then(|| choose_spillover(&scan, now, settings, random)).flatten();
         choice = spillover.ok_or(Refusal::not_run(RefusalReason::Overloaded, None))?;
     }
-    let mut placement = choice.to_placement(now);
+    let mut placement = choice.to_placement(now, scan.service_load());
     placement.holder = scan.holder(choice.member).map(|member| member.upstream.address);
     Ok(placement)
 }
@@ -174,11 +176,11 @@
 }
 
 impl Choice<'_> {
-    fn to_placement(&self, now: Duration) -> Placement {
+    fn to_placement(&self, now: Duration, service_load: ServiceLoad) -> Placement {
         let Self { member, reason, load, bound } = *self;
         let report_age = member.load.report_age(now);
         let upstream = member.upstream.clone();
-        Placement { upstream, reason, load, bound, report_age, holder: None }
+        Placement { upstream, reason, load, bound, report_age, holder: None, service_load }
     }
 }
 
@@ -249,7 +251,7 @@
     Found(Choice<'a>),
     /// [`MAX_FULL_REPLICAS`] replicas had no free slot.
     Full,
-    /// None of the replicas searched has a free slot and is within the load bound.
+    /// None of the replicas searched has a free slot and takes the request.
     NotFound,
 }
 
--- a/teaselworks_policy/src/placement/scan.rs
+++ b/teaselworks_policy/src/placement/scan.rs
@@ -9,17 +9,12 @@
 use std::time::Duration;
 
 use super::{PlacementRequest, rendezvous_score};
-use crate::upstream::{AverageLoad, Member, PeerLoad, Pool};
+use crate::upstream::{AverageLoad, Member, PeerLoad, Pool, ServiceLoad};
 
 /// Number of candidates that are kept from the start of a key's order. If none of these has room,
 /// the search does not go further down the order.
 const RANKED_REPLICAS: usize = 4;
 
-/// Share of the candidates' slots in use from which the service counts as nearly full. Late callers
-/// are then refused, the concurrency limit applies also to a service that reports its load, and the
-/// requests of a hot key whose first replicas are full queue there instead of spilling over.
-const NEARLY_FULL_SHARE: f64 = 0.9;
-
 /// The `N` members with the highest scores, highest score first.
 struct TopScored<'a, const N: usize> {
     scores: [u64; N],
@@ -70,6 +65,8 @@
     /// Sum, over the candidates, of 1 minus the weight of the load report; a candidate without a
     /// recent report counts as 1.
     unreported_count: f64,
+    /// Number of candidates whose latest load report came from another router.
+    shared_report_count: usize,
     /// Total slots of the candidates.
     slots: u32,
     average_load: AverageLoad,
@@ -102,6 +99,7 @@
             candidate_count: 0,
             known_requests: 0.0,
             unreported_count: 0.0,
+            shared_report_count: 0,
             slots: 0,
             average_load: AverageLoad { peer_requests: 0.0, own_requests: 0.0, routers },
             ranked: TopScored::new(),
@@ -121,7 +119,8 @@
     /// replicas.
     fn scan_pool(&mut self, routers: u32) -> usize {
         let (mut own, mut reported, mut weight_sum) = (0_u32, 0.0, 0.0);
-        let (mut eligible_count, mut candidate_count, mut slots) = (0, 0, 0_u32);
+        let (mut eligible_count, mut candidate_count, mut shared_report_count) = (0, 0, 0);
+        let mut slots = 0_u32;
         for member in self.pool.members() {
             let score = self.key.map_or(0, |key| rendezvous_score(key, member.id_hash));
             let is_usable = member.health.is_usable(self.now);
@@ -136,6 +135,7 @@
                 continue;
             }
             candidate_count += 1;
+            shared_report_count += usize::from(member.load.has_shared_report());
             own += member.load.own_requests();
             slots = slots.saturating_add(member.upstream.slots);
             if let Some(PeerLoad { requests, weight }) = member.load.peer_load(self.now, routers) {
@@ -146,6 +146,7 @@
         }
         let own = f64::from(own);
         self.candidate_count = candidate_count;
+        self.shared_report_count = shared_report_count;
         self.slots = slots;
         self.known_requests = own + reported;
         self.unreported_count = candidate_count as f64 - weight_sum;
@@ -182,7 +183,18 @@
 
     /// Tells whether nearly all slots of the candidates are taken.
     pub(super) fn is_nearly_full(&self) -> bool {
-        self.total_requests() >= NEARLY_FULL_SHARE * f64::from(self.slots)
+        self.service_load().is_nearly_full()
+    }
+
+    /// Returns the load of the candidates.
+    pub(super) fn service_load(&self) -> ServiceLoad {
+        ServiceLoad {
+            own_requests: self.average_load.own_requests * self.candidate_count as f64,
+            total_requests: self.total_requests(),
+            slots: f64::from(self.slots),
+            routers: f64::from(self.average_load.routers),
+            has_shared_reports: self.shared_report_count * 2 > self.candidate_count,
+        }
     }
 
     /// Returns the number of candidates.
--- a/teaselworks_policy/src/upstream/load.rs
+++ b/teaselworks_policy/src/upstream/load.rs
@@ -130,6 +130,11 @@
         is_new.then(|| (latest_report.all_requests, now.saturating_sub(latest_report.reported_at)))
     }
 
+    /// Returns whether another router passed on the latest report.
+    pub fn has_shared_report(&self) -> bool {
+        self.latest_report.is_some_and(|report| !report.is_direct)
+    }
+
     /// Returns the number of requests of this router at the upstream.
     pub fn own_requests(&self) -> u32 {
         self.own_requests
--- a/teaselworks_policy/src/upstream/mod.rs
+++ b/teaselworks_policy/src/upstream/mod.rs
@@ -8,6 +8,7 @@
 mod pool;
 mod reach;
 mod registry;
+mod slot_share;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,6 +24,7 @@
 pub use self::pool::{Member, Pool};
 pub use self::reach::Reachability;
 pub use self::registry::{Change, ListEntry, Registry};
+pub use self::slot_share::{ServiceLoad, SlotShare};
 
 /// Identifies one start of a replica's process: a replica may keep its identifier and address when
 /// it restarts.
--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -7,7 +7,8 @@
 
 use super::{
     ConcurrencyLimit, EjectionChange, Health, Incarnation, Load, LoadReport, ObservationIndex,
-    Reachability, RequestOutcome, SharedFailures, SharedLoad, SharedObservations, Upstream,
+    Reachability, RequestOutcome, ServiceLoad, SharedFailures, SharedLoad, SharedObservations,
+    SlotShare, Upstream,
 };
 
 /// Weight of the latest request in the exponential moving average of request times.
@@ -80,7 +81,10 @@
     target_latency: Option<Duration>,
     /// Whether a replica of the service has ever reported its load.
     has_load_reports: bool,
+    /// Limit that is derived from the waits of this router's own requests.
     concurrency_limit: ConcurrencyLimit,
+    /// Limit that is derived from the load reports that routers share.
+    slot_share: SlotShare,
     /// Schedule of the retries of callers that were refused.
     pub schedule: RetryAfterSchedule,
 }
@@ -138,6 +142,17 @@
             && !self.concurrency_limit.allows(self.in_progress(now))
     }
 
+    /// Returns whether this router has as many requests in progress as its share of the slots.
+    pub fn is_share_used(&self, load: &ServiceLoad) -> bool {
+        !self.slot_share.allows(load)
+    }
+
+    /// Records the load of the service when a request is placed.
+    pub fn on_placed(&mut self, now: Duration, load: &ServiceLoad) {
+        self.slot_share.observe(now, load);
+        self.schedule.on_placed(now);
+    }
+
     /// Returns the number of requests of this router at usable replicas. Requests that wait at an
     /// ejected replica do not count towards the limit.
     fn in_progress(&self, now: Duration) -> u32 {
--- /dev/null
+++ b/teaselworks_policy/src/upstream/slot_share.rs
@@ -0,0 +1,113 @@
+//! Limit on the requests that a router of a large fleet has in progress at a service whose replicas
+//! report their load.
+//!
+//! The load reports that routers share are hundreds of milliseconds old, and in that time a burst can bring several times
+//! the requests that the replicas can process. Each router therefore takes only its share of the
+//! slots that were free according to the reports, whatever it learns later.
+
+use std::time::Duration;
+
+/// Share of the slots in use from which a service counts as nearly full. Late callers are then
+/// refused, the concurrency limit applies also to a service that reports its load, and the requests
+/// of a hot key whose first replicas are full queue there instead of spilling over.
+const NEARLY_FULL_SHARE: f64 = 0.9;
+/// Requests per slot, over all routers together, up to which requests are admitted. It is above 1
+/// so that a request waits for the next free slot rather than a slot for the next request.
+const REQUESTS_PER_SLOT: f64 = 1.2;
+/// Time constant of the mean that stands for this router's requests at the time of the reports.
+const RECENT_TIME_CONSTANT: Duration = Duration::from_secs(1);
+/// Time constant of the means from which this router's share is computed. It is longer than the
+/// time in which reports show a burst, so that a burst at all routers changes no share.
+const SHARE_TIME_CONSTANT: Duration = Duration::from_secs(5);
+/// Requests that are added to this router's own mean, and for each router to the total, when its
+/// share is computed: a router with few requests is close to the average until more is known.
+const PRIOR_REQUESTS: f64 = 1.0;
+/// Requests that a router may have in progress beyond its share, so that it can always send one.
+const SPARE_REQUESTS: f64 = 1.0;
+
+/// Requests in progress at a service and its slots, as one router knows them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServiceLoad {
+    /// Requests of this router.
+    pub own_requests: f64,
+    /// Requests of all routers, estimated from the load reports.
+    pub total_requests: f64,
+    /// Slots of the replicas that requests may be sent to.
+    pub slots: f64,
+    /// Live routers, including this one.
+    pub routers: f64,
+    /// Whether this router knows the loads of most replicas only from other routers.
+    pub has_shared_reports: bool,
+}
+
+impl ServiceLoad {
+    /// Returns whether nearly all slots are taken.
+    pub fn is_nearly_full(&self) -> bool {
+        self.total_requests >= NEARLY_FULL_SHARE * self.slots
+    }
+}
+
+/// Share of the slots of a service that one router uses.
+///
+/// The share follows the router's part of the requests in progress over the last seconds: callers
+/// are spread unevenly over routers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SlotShare {
+    /// Moving average of this router's requests over [`RECENT_TIME_CONSTANT`].
+    recent_own: f64,
+    /// Moving average of this router's requests over [`SHARE_TIME_CONSTANT`].
+    mean_own: f64,
+    /// Moving average of the requests of all routers over [`SHARE_TIME_CONSTANT`].
+    mean_total: f64,
+    /// Clock reading at the last observation.
+    observed_at: Duration,
+}
+
+impl SlotShare {
+    /// Records the load of the service when a request is placed.
+    pub fn observe(&mut self, now: Duration, load: &ServiceLoad) {
+        let elapsed = now.saturating_sub(self.observed_at);
+        self.observed_at = now;
+        let recent_weight = latest_weight(elapsed, RECENT_TIME_CONSTANT);
+        let share_weight = latest_weight(elapsed, SHARE_TIME_CONSTANT);
+        self.recent_own += recent_weight * (load.own_requests - self.recent_own);
+        self.mean_own += share_weight * (load.own_requests - self.mean_own);
+        self.mean_total += share_weight * (load.total_requests - self.mean_total);
+    }
+
+    /// Returns whether this router may send another request.
+    ///
+    /// ```
+    /// use teaselworks_policy::upstream::{ServiceLoad, SlotShare};
+    ///
+    /// let load = ServiceLoad {
+    ///     own_requests: 5.0,
+    ///     total_requests: 40.0,
+    ///     slots: 100.0,
+    ///     routers: 10.0,
+    ///     has_shared_reports: true,
+    /// };
+    /// assert!(SlotShare::default().allows(&load));
+    /// let surge = ServiceLoad { own_requests: 20.0, ..load };
+    /// assert!(!SlotShare::default().allows(&surge), "the other routers may have as many by now");
+    /// ```
+    pub fn allows(&self, load: &ServiceLoad) -> bool {
+        load.own_requests + 1.0 <= self.limit(load)
+    }
+
+    /// Returns the number of requests that this router may have in progress: what it had at the
+    /// time of the load reports and its share of the room that they show, but at least its share of
+    /// all slots.
+    fn limit(&self, load: &ServiceLoad) -> f64 {
+        let share = (self.mean_own + PRIOR_REQUESTS)
+            / (self.mean_total + PRIOR_REQUESTS * load.routers).max(1.0);
+        let admitted_total = REQUESTS_PER_SLOT * load.slots;
+        let room = admitted_total - load.total_requests;
+        (self.recent_own + room * share).max(admitted_total * share) + SPARE_REQUESTS
+    }
+}
+
+/// Returns the weight of the latest value in a moving average after the time `elapsed`.
+fn latest_weight(elapsed: Duration, time_constant: Duration) -> f64 {
+    1.0 - (-elapsed.as_secs_f64() / time_constant.as_secs_f64()).exp()
+}
