At a nearly full service routers that share reports choose by chance among a key's first replicas

Cause: with the slots shared, half of 192 engines still had queues while a sixth of the slots was free. All routers know the same reports: the first of a key's order with a free slot gets the requests of all until the next report, and where two are full they queue at the lesser one.

--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -39,6 +39,10 @@
 /// another zone only if the smaller load there saves more time than the longer network path costs.
 const ZONE_PENALTY: f64 = 0.5;
 
+/// Requests per slot at which a replica has no room left while nearly all slots of the service are
+/// taken. A full replica still gets requests then, but fewer than one with a free slot.
+const ROOM_PER_SLOT: f64 = 1.6;
+
 /// Limits on the placement of requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementSettings {
@@ -185,7 +189,8 @@
 }
 
 /// Chooses the first of the ranked replicas, in the key's order, that has a free slot and is within
-/// the load bound.
+/// the load bound. If nearly all slots of the service are taken, and routers share load reports,
+/// chooses among the ranked replicas by chance.
 ///
 /// If [`MAX_FULL_REPLICAS`] of them are full, the request queues at the least loaded of the first
 /// ones if its load is within [`QUEUE_BOUND_FACTOR`] times the bound, or if nearly all slots of the
@@ -198,6 +203,13 @@
     random: &mut impl Rng,
 ) -> Choice<'a> {
     let bound = load_bound(scan, settings);
+    let service_load = scan.service_load();
+    if service_load.is_nearly_full()
+        && service_load.has_shared_reports
+        && let Some(choice) = choose_ranked_by_room(scan, now, bound, random)
+    {
+        return choice;
+    }
     let search = search_order(scan.ranked(), now, scan.average_load(), bound);
     if let OrderSearch::Found(choice) = search {
         return choice;
@@ -211,6 +223,34 @@
     choose_spillover(scan, now, settings, random).unwrap_or(least)
 }
 
+/// Chooses at random among the ranked replicas, with a probability in proportion to the room below
+/// [`ROOM_PER_SLOT`]. Returns `None` if none has room.
+///
+/// A load report that routers share tells all of them of the same free slot. Chosen for certain,
+/// its replica would get the requests of all routers until its next report.
+fn choose_ranked_by_room<'a>(
+    scan: &Scan<'a>,
+    now: Duration,
+    bound: f64,
+    random: &mut impl Rng,
+) -> Option<Choice<'a>> {
+    let mut chosen = None;
+    let mut total_room = 0.0;
+    for (rank, member) in scan.ranked().enumerate() {
+        let load = member.load.estimate(now, scan.average_load());
+        let room = f64::from(member.upstream.slots) * ROOM_PER_SLOT - load;
+        if room <= 0.0 {
+            continue;
+        }
+        total_room += room;
+        if random.random_range(0.0..total_room) < room {
+            let reason = if rank == 0 { PlacementReason::Home } else { PlacementReason::Spill };
+            chosen = Some(Choice { member, reason, load, bound });
+        }
+    }
+    chosen
+}
+
 /// Chooses at random among the replicas that have a free slot and are within the load bound, with a
 /// probability in proportion to the room that is left below the bound.
 ///
--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -10,7 +10,9 @@
     Placement, PlacementReason, PlacementRequest, PlacementSettings, Prompt, PromptPart,
     hash_upstream_id, place, rendezvous_score,
 };
-use teaselworks_policy::upstream::{Incarnation, LoadReport, Pool, RequestOutcome, Upstream};
+use teaselworks_policy::upstream::{
+    Incarnation, LoadReport, ObservationIndex, Pool, RequestOutcome, Upstream,
+};
 use teaselworks_policy::verdict::RefusalReason;
 
 const NOW: Duration = Duration::from_secs(5);
@@ -185,6 +187,49 @@
     );
 }
 
+/// Returns the pool of a router that knows only from another router how many requests each replica
+/// has; `running` returns that number for an identifier.
+fn pool_with_shared_reports(replicas: u32, slots: u32, running: impl Fn(&str) -> u32) -> Pool {
+    let mut other = pool(replicas, slots);
+    let upstreams: Vec<_> = other.members().iter().map(|member| member.upstream.clone()).collect();
+    for upstream in upstreams {
+        let report = LoadReport { running: running(&upstream.id), waiting: 0 };
+        other.on_load_report(NOW, &upstream.incarnation(), report);
+    }
+    let observations = other.observations_after(NOW, Duration::ZERO, true);
+    let mut pool = pool(replicas, slots);
+    pool.apply_observations(NOW, &ObservationIndex::from(&observations));
+    pool
+}
+
+/// Returns how many of 200 requests with the key 10 go to each replica if every router knows the
+/// same loads.
+fn placed_by_replica(pool: &Pool) -> BTreeMap<String, u32> {
+    let prompt = prompt(10);
+    let mut counts = BTreeMap::new();
+    let mut random = random();
+    for _ in 0..200 {
+        let Ok(placed) = place(pool, NOW, &request(Some(&prompt)), &SETTINGS, &mut random) else {
+            continue;
+        };
+        *counts.entry(placed.upstream.id.to_string()).or_default() += 1;
+    }
+    counts
+}
+
+/// Guards against routers that all send a key's requests to the one replica that has a free slot by
+/// the reports that they share.
+#[test]
+fn a_free_slot_at_a_nearly_full_service_does_not_get_all_requests_of_a_key() {
+    let first = place(&pool(12, 16), NOW, &request(Some(&prompt(10))), &SETTINGS, &mut random());
+    let first = first.unwrap().upstream.id.clone();
+    let pool = pool_with_shared_reports(12, 16, |id| if *id == *first { 14 } else { 16 });
+    let counts = placed_by_replica(&pool);
+    assert!(counts.len() >= 4, "{counts:?}");
+    assert!(counts[&*first] < 100, "{counts:?}");
+    assert!(counts.values().all(|count| *count <= counts[&*first]), "{counts:?}");
+}
+
 /// Guards against requests with a prompt that exceed the concurrency limit of a service whose
 /// replicas do not report their load. Answers later than the target latency lower that limit.
 #[test]
