Routers that share reports leave a full replica one after the other

All routers know the same loads, half a second old: below the bound a replica got every request of its keys, above it none, and its load swung by more than the bound allows. Change: from 0.6 of the mean load to the bound, the probability that a replica takes a request falls from 1 to 0; the request goes on to the next in its key's order.

--- a/teaselworks_model/tests/loads.rs
+++ b/teaselworks_model/tests/loads.rs
@@ -12,6 +12,7 @@
 const MANY_ROUTERS_BURST: &str = include_str!("../loads/many-routers-burst.jsonc");
 const MANY_ROUTERS_DARK: &str = include_str!("../loads/many-routers-dark.jsonc");
 const MANY_ROUTERS_HOT_KEY: &str = include_str!("../loads/many-routers-hot-key.jsonc");
+const HUNDREDS_OF_ROUTERS: &str = include_str!("../loads/hundreds-of-routers.jsonc");
 const HUNDREDS_OF_ROUTERS_BURST: &str = include_str!("../loads/hundreds-of-routers-burst.jsonc");
 const COLD_HOT_KEY: &str = include_str!("../loads/cold-hot-key.jsonc");
 const DARK_THIRD: &str = include_str!("../loads/dark-third.jsonc");
@@ -153,6 +154,17 @@
     });
 }
 
+/// Guards against engines that get all requests of their keys or none in turn: routers know the same
+/// outdated loads, and there are more routers than engines.
+#[test]
+fn hundreds_of_routers_keep_the_bound_on_load() {
+    simulate(HUNDREDS_OF_ROUTERS, |outcome| {
+        let beyond_share = outcome.totals.beyond_bound_share();
+        assert!(beyond_share < 0.03, "{beyond_share}");
+        assert!(in_time_share(outcome, 2, 12) > 0.98);
+    });
+}
+
 /// Guards against a burst after whose first second hardly anything is served: hundreds of routers
 /// fill the queues before any load report shows the burst, and then refuse nearly all requests
 /// until the queues are empty. The engines can finish 0.31 of the requests in the burst.
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -43,6 +43,11 @@
 /// taken. A full replica still gets requests then, but fewer than one with a free slot.
 const ROOM_PER_SLOT: f64 = 1.6;
 
+/// Multiple of the mean load up to which a replica takes all requests of its keys. Between this load
+/// and the bound, part of them go to later replicas in the key's order if routers share load
+/// reports.
+const SPREAD_START_FACTOR: f64 = 0.6;
+
 /// Limits on the placement of requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementSettings {
@@ -188,8 +193,8 @@
     }
 }
 
-/// Chooses the first of the ranked replicas, in the key's order, that has a free slot and is within
-/// the load bound. If nearly all slots of the service are taken, and routers share load reports,
+/// Chooses the first of the ranked replicas, in the key's order, that has a free slot and takes the
+/// request (see [`takes_request`]). If nearly all slots of the service are taken, and routers share load reports,
 /// chooses among the ranked replicas by chance.
 ///
 /// If [`MAX_FULL_REPLICAS`] of them are full, the request queues at the least loaded of the first
@@ -210,7 +215,13 @@
     {
         return choice;
     }
-    let search = search_order(scan.ranked(), now, scan.average_load(), bound);
+    let spread_start = if service_load.has_shared_reports {
+        SPREAD_START_FACTOR * scan.mean_requests()
+    } else {
+        bound
+    };
+    let takes = |load: f64| takes_request(load, bound, spread_start, random);
+    let search = search_order(scan.ranked(), now, scan.average_load(), bound, takes);
     if let OrderSearch::Found(choice) = search {
         return choice;
     }
@@ -287,7 +298,7 @@
 
 /// Result of [`search_order`].
 enum OrderSearch<'a> {
-    /// The first replica that has a free slot and is within the load bound.
+    /// The first replica that has a free slot and takes the request.
     Found(Choice<'a>),
     /// [`MAX_FULL_REPLICAS`] replicas had no free slot.
     Full,
@@ -295,13 +306,26 @@
     NotFound,
 }
 
-/// Searches an order of replicas for the first one that has a free slot and is within the load
-/// bound.
+/// Decides whether a replica takes a request, or whether the search goes on to the next one in the
+/// key's order. From the load `spread_start` on, the probability falls from 1 to 0 at the bound.
+///
+/// Routers that share load reports know the same, outdated loads. If all of them changed to the next
+/// replica at the same load, each replica would get either all requests of a key or none.
+fn takes_request(load: f64, bound: f64, spread_start: f64, random: &mut impl Rng) -> bool {
+    if load + 1.0 > bound {
+        return false;
+    }
+    load <= spread_start || random.random_bool((bound - load) / (bound - spread_start))
+}
+
+/// Searches an order of replicas for the first one that has a free slot and `takes` the request at
+/// its load.
 fn search_order<'a>(
     order: impl Iterator<Item = &'a Member>,
     now: Duration,
     average_load: &AverageLoad,
     bound: f64,
+    mut takes: impl FnMut(f64) -> bool,
 ) -> OrderSearch<'a> {
     let mut full_count = 0;
     for (rank, member) in order.enumerate() {
@@ -313,7 +337,7 @@
             }
             continue;
         }
-        if load + 1.0 > bound {
+        if !takes(load) {
             continue;
         }
         let reason = if rank == 0 { PlacementReason::Home } else { PlacementReason::Spill };
--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -217,6 +217,21 @@
     counts
 }
 
+/// Guards against a replica that gets either all requests of a key or none: all routers know the
+/// same outdated loads, and change to the key's next replica at the same time.
+#[test]
+fn routers_that_share_reports_leave_a_replica_one_after_the_other() {
+    let home = |pool: &Pool| {
+        place(pool, NOW, &request(Some(&prompt(10))), &SETTINGS, &mut random()).unwrap().upstream
+    };
+    let first = home(&pool(12, 16)).id.clone();
+    let at_mean = pool_with_shared_reports(12, 16, |_| 4);
+    let near_bound = pool_with_shared_reports(12, 16, |id| if *id == *first { 8 } else { 4 });
+    let counts = [at_mean, near_bound].map(|pool| placed_by_replica(&pool)[&*first]);
+    assert!((100..200).contains(&counts[0]), "{counts:?}");
+    assert!((1..100).contains(&counts[1]), "{counts:?}");
+}
+
 /// Guards against routers that all send a key's requests to the one replica that has a free slot by
 /// the reports that they share.
 #[test]
