Shared load reports fade with a time constant of two seconds

Cause: reports come with answers only. Once a report that all routers share shows a replica to be full, no router sends a request there, so that no newer report follows while its requests end; the report kept nearly its whole weight for seconds. Change: the weight of a report that another router passed on falls exponentially with its age. Reports that a router received itself keep their weight, so that fleets without shared reports decide as before.

--- a/teaselworks_policy/src/upstream/load.rs
+++ b/teaselworks_policy/src/upstream/load.rs
@@ -10,6 +10,10 @@
 /// Maximum age at which a load report expires.
 const MAX_REPORT_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Time constant of the weight of a report that routers share. All of them avoid a replica that such
+/// a report shows to be full, so that no newer report follows while its requests end.
+const SHARED_REPORT_TIME_CONSTANT: Duration = Duration::from_secs(2);
+
 /// Load that an upstream reports along with an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LoadReport {
@@ -151,10 +155,15 @@
         let lifetime =
             (REPORT_LIFETIME_PER_ROUTER * routers).clamp(MIN_REPORT_LIFETIME, MAX_REPORT_LIFETIME);
         let age = self.report_age(now).filter(|age| *age < lifetime)?;
-        let age_ratio = age.as_secs_f64() / lifetime.as_secs_f64();
-        // Falls slowly at first, since a report stays mostly valid for most of its lifetime.
-        let weight = 1.0 - age_ratio * age_ratio;
-        Some(PeerLoad { requests: f64::from(self.latest_report?.peer_requests), weight })
+        let latest_report = self.latest_report?;
+        let weight = if latest_report.is_direct {
+            let age_ratio = age.as_secs_f64() / lifetime.as_secs_f64();
+            // Falls slowly at first, since a report stays mostly valid for most of its lifetime.
+            1.0 - age_ratio * age_ratio
+        } else {
+            (-age.as_secs_f64() / SHARED_REPORT_TIME_CONSTANT.as_secs_f64()).exp()
+        };
+        Some(PeerLoad { requests: f64::from(latest_report.peer_requests), weight })
     }
 
     /// Estimates the number of requests of all routers at the upstream.
