--- a/teaselworks_model/tests/loads.rs
+++ b/teaselworks_model/tests/loads.rs
@@ -14,6 +14,8 @@
 const MANY_ROUTERS_HOT_KEY: &str = include_str!("../loads/many-routers-hot-key.jsonc");
 const HUNDREDS_OF_ROUTERS: &str = include_str!("../loads/hundreds-of-routers.jsonc");
 const HUNDREDS_OF_ROUTERS_BURST: &str = include_str!("../loads/hundreds-of-routers-burst.jsonc");
+const HUNDREDS_OF_ROUTERS_HOT_KEY: &str =
+    include_str!("../loads/hundreds-of-routers-hot-key.jsonc");
 const COLD_HOT_KEY: &str = include_str!("../loads/cold-hot-key.jsonc");
 const DARK_THIRD: &str = include_str!("../loads/dark-third.jsonc");
 
@@ -178,6 +180,16 @@
     });
 }
 
+/// Guards against engines that get far more than their part of a hot key's requests in a burst: 27
+/// engines have to share them, and routers look for room at the first four of the key's order.
+#[test]
+fn hundreds_of_routers_spread_a_hot_key_in_a_burst() {
+    simulate(HUNDREDS_OF_ROUTERS_HOT_KEY, |outcome| {
+        let beyond_share = outcome.totals.beyond_bound_share();
+        assert!(beyond_share < 0.03, "{beyond_share}");
+    });
+}
+
 /// Guards against prompts that are copied to other engines although the engines are nearly idle.
 #[test]
 fn a_lightly_loaded_service_copies_few_cached_prompts() {
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -190,8 +190,8 @@
 }
 
 /// Chooses the first of the ranked replicas, in the key's order, that has a free slot and takes the
-/// request (see [`takes_request`]). If nearly all slots of the service are taken, and routers share load reports,
-/// chooses among the ranked replicas by chance.
+/// request (see [`takes_request`]). If nearly all slots of the service are taken, and routers share
+/// load reports, chooses among the ranked replicas by chance.
 ///
 /// If [`MAX_FULL_REPLICAS`] of them are full, the request queues at the least loaded of the first
 /// ones if its load is within [`QUEUE_BOUND_FACTOR`] times the bound, or if nearly all slots of the
--- a/teaselworks_policy/src/upstream/slot_share.rs
+++ b/teaselworks_policy/src/upstream/slot_share.rs
@@ -1,9 +1,9 @@
 //! Limit on the requests that a router of a large fleet has in progress at a service whose replicas
 //! report their load.
 //!
-//! The load reports that routers share are hundreds of milliseconds old, and in that time a burst can bring several times
-//! the requests that the replicas can process. Each router therefore takes only its share of the
-//! slots that were free according to the reports, whatever it learns later.
+//! The load reports that routers share are hundreds of milliseconds old, and in that time a burst
+//! can bring several times the requests that the replicas can process. Each router therefore takes
+//! only its share of the slots that were free according to the reports.
 
 use std::time::Duration;
 
