--- a/teaselworks_model/tests/loads.rs
+++ b/teaselworks_model/tests/loads.rs
@@ -156,8 +156,8 @@
     });
 }
 
-/// Guards against engines that get all requests of their keys or none in turn: routers know the same
-/// outdated loads, and there are more routers than engines.
+/// Guards against engines that get all requests of their keys or none in turn: routers know the
+/// same outdated loads, and there are more routers than engines.
 #[test]
 fn hundreds_of_routers_keep_the_bound_on_load() {
     simulate(HUNDREDS_OF_ROUTERS, |outcome| {
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -307,8 +307,8 @@
 /// key's order. The probability falls from 1 at the start of `spread` to 0 at its end; an empty
 /// range is a bound.
 ///
-/// Routers that share load reports know the same, outdated loads. If all of them changed to the next
-/// replica at the same load, each replica would get either all requests of a key or none.
+/// Routers that share load reports know the same, outdated loads. If all of them changed to the
+/// next replica at the same load, each replica would get either all requests of a key or none.
 fn takes_request(load: f64, spread: &Range<f64>, random: &mut impl Rng) -> bool {
     if spread.is_empty() {
         return load + 1.0 <= spread.start;
--- a/teaselworks_policy/src/upstream/load.rs
+++ b/teaselworks_policy/src/upstream/load.rs
@@ -10,8 +10,8 @@
 /// Maximum age at which a load report expires.
 const MAX_REPORT_LIFETIME: Duration = Duration::from_secs(10);
 
-/// Time constant of the weight of a report that routers share. All of them avoid a replica that such
-/// a report shows to be full, so that no newer report follows while its requests end.
+/// Time constant of the weight of a report that routers share. All of them avoid a replica that
+/// such a report shows to be full, so that no newer report follows while its requests end.
 const SHARED_REPORT_TIME_CONSTANT: Duration = Duration::from_secs(2);
 
 /// Load that an upstream reports along with an answer.
