Log and count connections to upstreams that cannot be opened

The lines of the incident say "unreachable" for each attempt, not whether the connection was refused, reset or timed out, nor after what time; the hypotheses of a router without another way and of callers' time used up by waiting cannot be told apart by them. connect_failed names the cause, the time taken and the timeout, and teaselworks_connect_failures counts the causes.

--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -56,6 +56,7 @@
     REQUEST_PLACED = 800 Info "request_placed" "A request is sent to an upstream; the fields name the reason for the choice.";
     ATTEMPT_RETRIED = 801 Info "attempt_retried" "An attempt failed, and the request is retried.";
     ATTEMPT_FAILED = 802 Info "attempt_failed" "An attempt failed and the request is not retried; the fields name how it failed and why there is no retry.";
+    CONNECT_FAILED = 803 Info "connect_failed" "A connection to an upstream could not be opened; the fields name the cause, how long it took, and the timeout that applied.";
 
     // 900-999: upstreams.
     UPSTREAM_SERVING = 900 Info "upstream_serving" "An upstream accepts requests, or its properties changed.";
--- a/teaselworks/src/metrics.rs
+++ b/teaselworks/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of one router, exported as Prometheus text.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
@@ -45,6 +46,7 @@
     ejections: Counter<u64>,
     store_calls: Counter<u64>,
     connections: Counter<u64>,
+    connect_failures: Counter<u64>,
     in_progress: UpDownCounter<i64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
@@ -89,6 +91,11 @@
                 "teaselworks_upstream_connections",
                 "Connections opened to upstreams.",
             ),
+            connect_failures: counter(
+                &meter,
+                "teaselworks_connect_failures",
+                "Connections to upstreams that could not be opened, by cause.",
+            ),
             in_progress: meter
                 .i64_up_down_counter("teaselworks_in_progress")
                 .with_description("Requests in progress.")
@@ -174,6 +181,17 @@
         self.connections.add(1, &[]);
     }
 
+    /// Counts a connection to an upstream that could not be opened.
+    pub fn add_connect_failure(&self, cause: ErrorKind) {
+        let cause = match cause {
+            ErrorKind::TimedOut => "timed_out",
+            ErrorKind::ConnectionRefused => "refused",
+            ErrorKind::ConnectionReset => "reset",
+            _ => "other",
+        };
+        self.connect_failures.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a call to the store.
     pub fn add_store_call(&self, outcome: StoreOutcome) {
         let outcome = match outcome {
--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::header;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
@@ -14,6 +15,7 @@
 use super::body::OutgoingBody;
 use super::request::PreparedRequest;
 use super::upstream_connection::Connection;
+use crate::event;
 use crate::platform::headers::{self, AddedHeaders, ResponseMetadata};
 
 /// The answer of an upstream, whose head was checked to belong to the request.
@@ -91,14 +93,28 @@
         let elapsed = self.shared.now().saturating_sub(started_at);
         match &opened {
             Ok(_) => self.shared.fleet().connect_times.on_opened(elapsed),
-            Err(error) if error.kind() == io::ErrorKind::TimedOut => {
-                self.shared.fleet().connect_times.on_timeout();
+            Err(error) => {
+                if error.kind() == io::ErrorKind::TimedOut {
+                    self.shared.fleet().connect_times.on_timeout();
+                }
+                self.log_connect_failure(error, elapsed, connect_timeout);
             }
-            Err(_) => {}
         }
         opened
     }
 
+    fn log_connect_failure(&self, error: &io::Error, elapsed: Duration, timeout: Duration) {
+        self.shared.metrics.add_connect_failure(error.kind());
+        event::CONNECT_FAILED.log(&[
+            event::text("request", &self.prepared.metadata.id),
+            event::text("upstream", &self.upstream.id),
+            event::text("address", &self.upstream.address),
+            event::text("cause", error),
+            event::number("elapsed_ms", elapsed.as_millis() as u64),
+            event::number("timeout_ms", timeout.as_millis() as u64),
+        ]);
+    }
+
     /// Sends the request on a connection and waits for the head of the answer.
     ///
     /// The outer result is an error, which returns the request, if no byte of it was written. The
