--- a/teaselworks_standin/src/fleet.rs
+++ b/teaselworks_standin/src/fleet.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 
 use crate::configuration::{ARCHIVE_SERVICE, CHAT_SERVICE, TestConfiguration, upstream_entry};
+use crate::links::ReplicaLinks;
 use crate::router::{Program, Router};
 use crate::store::Store;
 use crate::upstream::{ReceivedRequest, Script, Upstream};
@@ -28,6 +29,9 @@
     pub archives: Vec<Upstream>,
     /// Router processes.
     pub routers: Vec<Router>,
+    /// Links of each router to the replicas; empty unless [`Fleet::start_with_links`] created the
+    /// fleet.
+    pub links: Vec<ReplicaLinks>,
     /// Configuration that [`Fleet::publish_configuration`] writes to the store.
     pub configuration: TestConfiguration,
 }
@@ -49,6 +53,23 @@
         router_count: usize,
         configuration: TestConfiguration,
         bounds: &Value,
+    ) -> io::Result<Self> {
+        Self::start_routers(program, router_count, configuration, bounds, false).await
+    }
+
+    /// Starts a fleet like [`Fleet::start`], with links from each router to the replicas that can
+    /// fail on their own.
+    pub async fn start_with_links(program: Program, router_count: usize) -> io::Result<Self> {
+        let configuration = TestConfiguration::default();
+        Self::start_routers(program, router_count, configuration, &json!({}), true).await
+    }
+
+    async fn start_routers(
+        program: Program,
+        router_count: usize,
+        configuration: TestConfiguration,
+        bounds: &Value,
+        has_links: bool,
     ) -> io::Result<Self> {
         let store = Store::start()?;
         let sse = |req: &ReceivedRequest| Script::stream(req, 1..6, Duration::from_millis(1), true);
@@ -56,7 +77,14 @@
         let engines = vec![Upstream::start("engine-1", sse)?, Upstream::start("engine-2", sse)?];
         let archives =
             vec![Upstream::start("service-1", respond)?, Upstream::start("service-2", respond)?];
-        let mut fleet = Self { store, engines, archives, routers: Vec::new(), configuration };
+        let mut fleet = Self {
+            store,
+            engines,
+            archives,
+            routers: Vec::new(),
+            links: Vec::new(),
+            configuration,
+        };
         fleet.publish_configuration();
         for upstream in &fleet.engines {
             fleet.put_entry(upstream, CHAT_SERVICE, "ready");
@@ -67,7 +95,15 @@
         for number in 0..router_count {
             let seeds: Vec<_> = fleet.routers.iter().map(Router::peers_address).collect();
             let name = format!("router-{number}");
-            let store = fleet.store.address();
+            let mut store = fleet.store.address();
+            if has_links {
+                let mut links = ReplicaLinks::start(&fleet.store)?;
+                for upstream in fleet.engines.iter().chain(&fleet.archives) {
+                    links.add(upstream.address())?;
+                }
+                store = links.store_address();
+                fleet.links.push(links);
+            }
             fleet.routers.push(Router::start(program.clone(), &name, store, &seeds, bounds)?);
         }
         for router in &fleet.routers {
--- a/teaselworks_standin/src/lib.rs
+++ b/teaselworks_standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod configuration;
 pub mod engine;
 pub mod fleet;
+pub mod links;
 pub mod message;
 pub mod port;
 pub mod program;
--- a/teaselworks_standin/src/port.rs
+++ b/teaselworks_standin/src/port.rs
@@ -45,9 +45,22 @@
 
     /// Listens on the reserved port. Fails while another socket listens on it.
     pub fn listen(&self) -> io::Result<TcpListener> {
+        self.listen_with_backlog(BACKLOG)
+    }
+
+    /// Listens on the reserved port without accepting connections. Fails while another socket
+    /// listens on it.
+    ///
+    /// The listen queue has room for one connection. Once it is filled, the packets that open
+    /// further connections are dropped, as by a VM that has no power.
+    pub fn listen_without_room(&self) -> io::Result<TcpListener> {
+        self.listen_with_backlog(0)
+    }
+
+    fn listen_with_backlog(&self, backlog: u32) -> io::Result<TcpListener> {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(self.address())?;
-        socket.listen(BACKLOG)
+        socket.listen(backlog)
     }
 }
--- a/teaselworks_standin/src/proxy.rs
+++ b/teaselworks_standin/src/proxy.rs
@@ -34,6 +34,8 @@
 pub struct ProxyFaults {
     /// Whether new connections are refused.
     pub is_refusing: bool,
+    /// Whether attempts to open a connection get no reply, not even a refusal.
+    pub is_unresponsive: bool,
     /// Faults from the client to the target.
     pub forward: DirectionFaults,
     /// Faults from the target to the client.
@@ -160,6 +162,13 @@
     }
 }
 
+/// Listens with a full queue: whoever connects gets no reply while the returned sockets are open.
+async fn fill_queue(guard: &PortGuard) -> io::Result<(TcpListener, TcpStream)> {
+    let listener = guard.listen_without_room()?;
+    let waiting = TcpStream::connect(guard.address()).await?;
+    Ok((listener, waiting))
+}
+
 /// Accepts connections and copies data between clients and the target.
 #[derive(Clone)]
 struct Relay {
@@ -172,17 +181,21 @@
 
 impl Relay {
     /// Accepts connections until the proxy is dropped; closes the listener while connections are
-    /// refused.
+    /// refused or get no reply.
     async fn accept(mut self, guard: PortGuard, listener: TcpListener) {
         let mut listener = Some(listener);
         loop {
-            let is_refusing = self.faults.borrow_and_update().is_refusing;
-            if is_refusing {
+            let ProxyFaults { is_refusing, is_unresponsive, .. } = *self.faults.borrow_and_update();
+            if is_refusing || is_unresponsive {
                 listener = None;
             } else if listener.is_none() {
                 listener = Some(guard.listen().expect("the reserved port is free"));
             }
             let Some(open) = &listener else {
+                let _full_queue = match is_unresponsive {
+                    true => fill_queue(&guard).await.ok(),
+                    false => None,
+                };
                 if self.faults.changed().await.is_err() {
                     return;
                 }
--- a/teaselworks_standin/src/store/mod.rs
+++ b/teaselworks_standin/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! In-memory HTTP server with the API of the platform's key-value store, and faults that tests can
 //! switch on.
 
+mod addresses;
 mod state;
 
 use std::convert::Infallible;
@@ -17,9 +18,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+pub use self::addresses::AddressMap;
 use self::state::State;
 use crate::port::PortGuard;
 
@@ -69,27 +72,7 @@
             calls: Mutex::default(),
         });
         let stop = CancellationToken::new();
-        let (accepting, stopped) = (shared.clone(), stop.clone());
-        tokio::spawn(async move {
-            loop {
-                let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    () = stopped.cancelled() => return,
-                };
-                let Ok((stream, _)) = accepted else { continue };
-                let shared = accepting.clone();
-                let service = service_fn(move |request| respond(shared.clone(), request));
-                let connection =
-                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-                let stopped = stopped.clone();
-                tokio::spawn(async move {
-                    tokio::select! {
-                        _ = connection => {}
-                        () = stopped.cancelled() => {}
-                    }
-                });
-            }
-        });
+        tokio::spawn(accept(listener, shared.clone(), AddressMap::default(), stop.clone()));
         let (expiring, stopped) = (shared.clone(), stop.clone());
         tokio::spawn(async move {
             while !stopped.is_cancelled() {
@@ -100,6 +83,16 @@
         Ok(Self { guard, shared, stop })
     }
 
+    /// Serves the same items on another port, with the addresses of replicas replaced as the
+    /// returned map says.
+    pub fn start_view(&self) -> io::Result<StoreView> {
+        let guard = PortGuard::reserve()?;
+        let addresses = AddressMap::default();
+        let stop = self.stop.child_token();
+        tokio::spawn(accept(guard.listen()?, self.shared.clone(), addresses.clone(), stop.clone()));
+        Ok(StoreView { guard, addresses, stop })
+    }
+
     /// Returns the address on which the store listens.
     pub fn address(&self) -> SocketAddr {
         self.guard.address()
@@ -162,6 +155,53 @@
     }
 }
 
+/// A port of a store that lists replicas at other addresses; closed when it is dropped.
+pub struct StoreView {
+    guard: PortGuard,
+    /// Addresses under which this port lists replicas, by their addresses in the store.
+    pub addresses: AddressMap,
+    stop: CancellationToken,
+}
+
+impl StoreView {
+    /// Returns the address on which the view listens.
+    pub fn address(&self) -> SocketAddr {
+        self.guard.address()
+    }
+}
+
+impl Drop for StoreView {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// Serves connections until `stop` is cancelled.
+async fn accept(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    addresses: AddressMap,
+    stop: CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let (shared, addresses, stop) = (shared.clone(), addresses.clone(), stop.clone());
+        let service =
+            service_fn(move |request| respond(shared.clone(), addresses.clone(), request));
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = connection => {}
+                () = stop.cancelled() => {}
+            }
+        });
+    }
+}
+
 impl Shared {
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().expect("locks are never poisoned")
@@ -183,6 +223,7 @@
 /// Records a call and responds to it as [`Store::set_mode`] describes.
 async fn respond(
     shared: Arc<Shared>,
+    addresses: AddressMap,
     request: Request<Incoming>,
 ) -> Result<StoreResponse, Infallible> {
     let call = format!("{} {}", request.method(), request.uri());
@@ -191,7 +232,7 @@
     let initial_mode = *mode.borrow_and_update();
     let respond_in_mode = async {
         match initial_mode {
-            Mode::Serving => handle_call(&shared, request).await,
+            Mode::Serving => handle_call(&shared, &addresses, request).await,
             Mode::Unavailable => json_response(503, &json!({})),
             Mode::Silent => std::future::pending().await,
         }
@@ -209,7 +250,11 @@
 }
 
 /// Handles a call in [`Mode::Serving`].
-async fn handle_call(shared: &Shared, request: Request<Incoming>) -> StoreResponse {
+async fn handle_call(
+    shared: &Shared,
+    addresses: &AddressMap,
+    request: Request<Incoming>,
+) -> StoreResponse {
     let query = Query::parse(request.uri().query().unwrap_or_default());
     let (method, path) = (request.method().clone(), request.uri().path().to_owned());
     let body = request.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
@@ -224,10 +269,12 @@
     }
     match (method, path.as_str()) {
         (Method::GET, "/kv-range") => {
-            let range = shared.lock().range(query.get("prefix"), query.get("after"), PAGE_ITEMS);
+            let mut range =
+                shared.lock().range(query.get("prefix"), query.get("after"), PAGE_ITEMS);
+            addresses.replace_in(&mut range["items"]);
             json_response(200, &range)
         }
-        (Method::GET, "/kv-watch") => watch_changes(shared, &query).await,
+        (Method::GET, "/kv-watch") => watch_changes(shared, addresses, &query).await,
         (Method::POST, "/kv-lease") => {
             let ttl_ms = body["ttl_ms"].as_u64().unwrap_or_default();
             let lease = shared.lock().grant_lease(ttl_ms);
@@ -242,7 +289,7 @@
 
 /// Responds to a watch as soon as there are events, without events after `wait_ms`, or with 410 if
 /// the history no longer contains all of them.
-async fn watch_changes(shared: &Shared, query: &Query) -> StoreResponse {
+async fn watch_changes(shared: &Shared, addresses: &AddressMap, query: &Query) -> StoreResponse {
     let after = query.get_u64("after");
     let wait = Duration::from_millis(query.get_u64("wait_ms"));
     let mut revision = shared.revision.subscribe();
@@ -254,6 +301,8 @@
         match events {
             None => return json_response(410, &json!({})),
             Some(events) if !events.is_empty() => {
+                let mut events = Value::from(events);
+                addresses.replace_in(&mut events);
                 return json_response(200, &json!({ "events": events, "at": at }));
             }
             Some(_) => {}
