--- a/teaselworks/src/daemon/serve.rs
+++ b/teaselworks/src/daemon/serve.rs
@@ -23,6 +23,8 @@
 /// Time between checks for expired state: idle connections to upstreams, and upstreams that have
 /// been missing for so long that they count as gone.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between checks for links to services that are to be probed.
+const LINK_PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Listening sockets of a router, one for each listen address of the settings.
 struct Ports {
@@ -105,18 +107,18 @@
     let shortest_lease = Duration::from_millis(settings.platform.shortest_lease_ms);
     let name = &settings.router.name;
     tokio::spawn(Registrar::new(new_store(), name, peers, shortest_lease, shutdown.clone()).run());
+    let port = CallerPort::new(shared.clone(), settings.limits.file_descriptors);
+    let connections = port.connections();
     if let Some(listener) = ports.peers {
-        tokio::spawn(peers::serve(listener, cache, shared.clone()));
+        tokio::spawn(peers::serve(listener, cache, shared.clone(), connections.clone()));
     }
     tokio::spawn(sweep(shared.clone(), updater));
+    tokio::spawn(probe_links(shared.clone()));
     tokio::spawn(page::serve(ports.metrics, move || Page {
         status: StatusCode::OK,
         text: metrics.to_text(),
     }));
-    let readiness_state = shared.clone();
-    tokio::spawn(page::serve(ports.health, move || readiness(&readiness_state)));
-    let port = CallerPort::new(shared, settings.limits.file_descriptors);
-    let connections = port.connections();
+    tokio::spawn(page::serve(ports.health, move || readiness(&shared)));
     tokio::spawn(port.run(ports.callers));
     Ok(move || connections.count())
 }
@@ -129,6 +131,18 @@
     Page { status, text: String::new() }
 }
 
+/// Probes the links to services that may be or are down, until the process ends.
+async fn probe_links(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(LINK_PROBE_INTERVAL).await;
+        let probes = shared.fleet().probes(shared.now());
+        for (service, replica) in probes {
+            let shared = shared.clone();
+            tokio::spawn(async move { shared.probe_link(&service, &replica).await });
+        }
+    }
+}
+
 /// Removes expired state at regular intervals until the process ends.
 async fn sweep(shared: Arc<Shared>, updater: Arc<StateUpdater>) {
     loop {
--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -57,6 +57,7 @@
     ATTEMPT_RETRIED = 801 Info "attempt_retried" "An attempt failed, and the request is retried.";
     ATTEMPT_FAILED = 802 Info "attempt_failed" "An attempt failed and the request is not retried; the fields name how it failed and why there is no retry.";
     CONNECT_FAILED = 803 Info "connect_failed" "A connection to an upstream could not be opened; the fields name the cause, how long it took, and the timeout that applied.";
+    DETOUR_TAKEN = 804 Info "detour_taken" "A request is sent to another router, which forwards it, because this router reaches no replica of the service.";
 
     // 900-999: upstreams.
     UPSTREAM_SERVING = 900 Info "upstream_serving" "An upstream accepts requests, or its properties changed.";
@@ -68,4 +69,6 @@
     UPSTREAM_STALE = 906 Info "upstream_stale" "An entry of an earlier instance of an upstream was read and is ignored.";
     UPSTREAM_SUSPENDED = 907 Warn "upstream_suspended" "An upstream's entry cannot be decoded; the upstream gets no new requests until it can, and those in progress continue.";
     UPSTREAM_READMITTED = 908 Info "upstream_readmitted" "An upstream that was ejected for failures at other routers gets requests again, because it answered a request.";
+    LINK_LOST = 909 Warn "link_lost" "No connection to a replica of a service can be opened from this router; its requests are forwarded through other routers. The fields name how many replicas were tried and how long none of them has sent data (-1: never).";
+    LINK_RESTORED = 910 Info "link_restored" "A connection to a replica of a service could be opened again.";
 }
--- a/teaselworks/src/metrics.rs
+++ b/teaselworks/src/metrics.rs
@@ -47,6 +47,7 @@
     store_calls: Counter<u64>,
     connections: Counter<u64>,
     connect_failures: Counter<u64>,
+    detours: Counter<u64>,
     in_progress: UpDownCounter<i64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
@@ -96,6 +97,11 @@
                 "teaselworks_connect_failures",
                 "Connections to upstreams that could not be opened, by cause.",
             ),
+            detours: counter(
+                &meter,
+                "teaselworks_detours",
+                "Requests sent to another router to be forwarded.",
+            ),
             in_progress: meter
                 .i64_up_down_counter("teaselworks_in_progress")
                 .with_description("Requests in progress.")
@@ -128,9 +134,13 @@
         for reason in RetryReason::all() {
             self.retries.add(0, &[KeyValue::new("reason", reason.as_str())]);
         }
-        for counter in
-            [&self.broken_answers, &self.callers_left, &self.ejections, &self.connections]
-        {
+        for counter in [
+            &self.broken_answers,
+            &self.callers_left,
+            &self.ejections,
+            &self.connections,
+            &self.detours,
+        ] {
             counter.add(0, &[]);
         }
     }
@@ -192,6 +202,11 @@
         self.connect_failures.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a request that is sent to another router to be forwarded.
+    pub fn add_detour(&self) {
+        self.detours.add(1, &[]);
+    }
+
     /// Counts a call to the store.
     pub fn add_store_call(&self, outcome: StoreOutcome) {
         let outcome = match outcome {
--- a/teaselworks/src/platform/headers.rs
+++ b/teaselworks/src/platform/headers.rs
@@ -214,6 +214,34 @@
     forwarded
 }
 
+/// Returns the headers of a caller's request as they are sent to another router, which forwards it,
+/// without those that frame the body.
+///
+/// `remaining` is the time left until the deadline of the request. `last_event_id` replaces the
+/// caller's when a stream is resumed.
+pub fn router_request_headers(
+    headers: &HeaderMap,
+    remaining: Duration,
+    last_event_id: Option<&str>,
+) -> HeaderMap {
+    let mut forwarded = HeaderMap::with_capacity(headers.len());
+    let options = connection_options(headers);
+    for (name, value) in headers {
+        let is_dropped = HOP_BY_HOP.contains(name)
+            || RESERVED.contains(name)
+            || [header::CONTENT_LENGTH, header::EXPECT].contains(name)
+            || options.iter().any(|option| name.as_str() == option);
+        if !is_dropped {
+            forwarded.append(name.clone(), value.clone());
+        }
+    }
+    forwarded.insert(DEADLINE, HeaderValue::from(remaining.as_millis() as u64));
+    if let Some(id) = last_event_id {
+        insert_if_valid(&mut forwarded, LAST_EVENT_ID, id);
+    }
+    forwarded
+}
+
 /// Inserts a header unless its value contains characters that a header cannot carry.
 fn insert_if_valid(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     // Names in the configuration may contain such characters. The header is then left out, and an
--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -1,9 +1,8 @@
-//! Sends a request to one upstream and waits for the head of the answer.
+//! Sends a request to one upstream or router and waits for the head of the answer.
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::header;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
@@ -15,7 +14,7 @@
 use super::body::OutgoingBody;
 use super::request::PreparedRequest;
 use super::upstream_connection::Connection;
-use crate::event;
+use crate::net::CONNECT_TIMEOUT;
 use crate::platform::headers::{self, AddedHeaders, ResponseMetadata};
 
 /// The answer of an upstream, whose head was checked to belong to the request.
@@ -27,20 +26,52 @@
     pub(super) connection: Connection,
 }
 
-/// One attempt to have a request answered by an upstream.
+/// Where a request is sent.
+#[derive(Clone, Copy)]
+pub(super) enum Recipient<'a> {
+    /// A replica of the service.
+    Replica {
+        upstream: &'a Upstream,
+        /// Address of an upstream that may have more of the prompt in its key-value cache.
+        holder: Option<SocketAddr>,
+    },
+    /// Another router, which forwards the request to a replica.
+    Router(SocketAddr),
+}
+
+impl Recipient<'_> {
+    /// Returns the key of the recipient's connections.
+    fn incarnation(self) -> Incarnation {
+        match self {
+            Recipient::Replica { upstream, .. } => upstream.incarnation(),
+            Recipient::Router(address) => {
+                Incarnation { id: address.to_string().into(), address, started: None }
+            }
+        }
+    }
+}
+
+/// One attempt to have a request answered.
 pub(super) struct Attempt<'a> {
-    pub(super) shared: &'a Arc<Shared>,
-    pub(super) prepared: &'a PreparedRequest,
-    pub(super) upstream: &'a Upstream,
-    /// Address of an upstream that may have more of the prompt in its key-value cache.
-    pub(super) holder: Option<SocketAddr>,
+    shared: &'a Arc<Shared>,
+    prepared: &'a PreparedRequest,
+    recipient: Recipient<'a>,
     /// Identifier of the event after which a stream is resumed.
-    pub(super) last_event_id: Option<&'a str>,
+    last_event_id: Option<&'a str>,
     /// Whether any byte of the request may have been written to the connection.
-    pub(super) was_sent: bool,
+    was_sent: bool,
 }
 
-impl Attempt<'_> {
+impl<'a> Attempt<'a> {
+    pub(super) fn new(
+        shared: &'a Arc<Shared>,
+        prepared: &'a PreparedRequest,
+        recipient: Recipient<'a>,
+        last_event_id: Option<&'a str>,
+    ) -> Self {
+        Self { shared, prepared, recipient, last_event_id, was_sent: false }
+    }
+
     /// Sends the request and waits for the head of the answer until the request's deadline.
     ///
     /// `size_bytes` is the length to send as `content-length` if the body doesn't state it itself.
@@ -59,7 +90,7 @@
     }
 
     /// Sends the request on an idle connection. If there is none, or it was closed before any byte
-    /// of the request was written, opens a new one.
+    /// of the request was written, opens a new one unless the link to the service is down.
     async fn exchange(
         &mut self,
         body: OutgoingBody,
@@ -67,7 +98,7 @@
     ) -> Result<Answer, Failure> {
         let mut request = self.build_request(body, size_bytes);
         let now = self.shared.now();
-        let incarnation = self.upstream.incarnation();
+        let incarnation = self.recipient.incarnation();
         if let Some(connection) = self.shared.connections.take(now, &incarnation).await {
             match self.send(connection, request).await {
                 Ok(answer) => return answer,
@@ -76,6 +107,10 @@
                 Err(unsent) => request = *unsent,
             }
         }
+        let is_replica = matches!(self.recipient, Recipient::Replica { .. });
+        if is_replica && self.shared.fleet().is_link_down(&self.prepared.service) {
+            return Err(Failure::Unreachable);
+        }
         let connection =
             self.open_connection(&incarnation).await.map_err(|_| Failure::Unreachable)?;
         match self.send(connection, request).await {
@@ -84,35 +119,16 @@
         }
     }
 
-    /// Opens a connection, and records how long that took or that it timed out. The connect timeout
-    /// of later connections is derived from these records.
     async fn open_connection(&self, incarnation: &Incarnation) -> io::Result<Connection> {
-        let started_at = self.shared.now();
-        let connect_timeout = self.shared.fleet().connect_times.timeout();
-        let opened = self.shared.connections.open(incarnation, connect_timeout).await;
-        let elapsed = self.shared.now().saturating_sub(started_at);
-        match &opened {
-            Ok(_) => self.shared.fleet().connect_times.on_opened(elapsed),
-            Err(error) => {
-                if error.kind() == io::ErrorKind::TimedOut {
-                    self.shared.fleet().connect_times.on_timeout();
-                }
-                self.log_connect_failure(error, elapsed, connect_timeout);
+        match self.recipient {
+            Recipient::Replica { .. } => {
+                let id = &self.prepared.metadata.id;
+                self.shared.open_connection(&self.prepared.service, incarnation, id).await
+            }
+            Recipient::Router(_) => {
+                self.shared.connections.open(incarnation, CONNECT_TIMEOUT).await
             }
         }
-        opened
-    }
-
-    fn log_connect_failure(&self, error: &io::Error, elapsed: Duration, timeout: Duration) {
-        self.shared.metrics.add_connect_failure(error.kind());
-        event::CONNECT_FAILED.log(&[
-            event::text("request", &self.prepared.metadata.id),
-            event::text("upstream", &self.upstream.id),
-            event::text("address", &self.upstream.address),
-            event::text("cause", error),
-            event::number("elapsed_ms", elapsed.as_millis() as u64),
-            event::number("timeout_ms", timeout.as_millis() as u64),
-        ]);
     }
 
     /// Sends the request on a connection and waits for the head of the answer.
@@ -139,24 +155,25 @@
         let (head, body) = answer.into_parts();
         let metadata = headers::parse_response_headers(head.status.as_u16(), &head.headers);
         connection.set_keep_alive(metadata.keep_alive);
-        let checked = check_answer(&metadata, head.status, &self.prepared.metadata.id);
+        let checked = self.check_answer(&metadata, head.status);
         let headers = headers::caller_response_headers(&head.headers);
         let answer = Answer { status: head.status, headers, metadata, body, connection };
         Ok(checked.map(|()| answer))
     }
 
-    /// Builds the request that is sent to the upstream.
+    /// Builds the request that is sent to the recipient.
     fn build_request(&self, body: OutgoingBody, size_bytes: Option<u64>) -> Request<OutgoingBody> {
         let prepared = self.prepared;
-        let added = AddedHeaders {
-            upstream_id: &self.upstream.id,
-            remaining: prepared.deadline.remaining(self.shared.now()),
-            workspace: prepared.workspace.as_ref().map(|workspace| &*workspace.name),
-            priority: prepared.route.has_prompts.then(|| prepared.priority()),
-            holder: self.holder,
-            last_event_id: self.last_event_id,
+        let mut forwarded = match self.recipient {
+            Recipient::Replica { upstream, holder } => {
+                self.replica_request_headers(upstream, holder)
+            }
+            Recipient::Router(_) => headers::router_request_headers(
+                &prepared.headers,
+                prepared.deadline.remaining(self.shared.now()),
+                self.last_event_id,
+            ),
         };
-        let mut forwarded = headers::upstream_request_headers(&prepared.headers, &added);
         if let Some(size) = size_bytes {
             forwarded.insert(header::CONTENT_LENGTH, HeaderValue::from(size));
         }
@@ -166,6 +183,32 @@
         *request.headers_mut() = forwarded;
         request
     }
+
+    fn replica_request_headers(
+        &self,
+        upstream: &Upstream,
+        holder: Option<SocketAddr>,
+    ) -> HeaderMap {
+        let prepared = self.prepared;
+        let added = AddedHeaders {
+            upstream_id: &upstream.id,
+            remaining: prepared.deadline.remaining(self.shared.now()),
+            workspace: prepared.workspace.as_ref().map(|workspace| &*workspace.name),
+            priority: prepared.route.has_prompts.then(|| prepared.priority()),
+            holder,
+            last_event_id: self.last_event_id,
+        };
+        headers::upstream_request_headers(&prepared.headers, &added)
+    }
+
+    /// Checks that an answer belongs to the request and comes from where it was sent.
+    fn check_answer(&self, metadata: &ResponseMetadata, status: StatusCode) -> Result<(), Failure> {
+        let id = &self.prepared.metadata.id;
+        match self.recipient {
+            Recipient::Replica { .. } => check_replica_answer(metadata, status, id),
+            Recipient::Router(_) => check_router_answer(metadata, status, id),
+        }
+    }
 }
 
 /// Checks that an answer belongs to the request, that it comes from an upstream, and that the
@@ -173,7 +216,7 @@
 ///
 /// An answer can belong to another request: an upstream may send a second answer to an earlier
 /// request on a kept-alive connection.
-fn check_answer(
+fn check_replica_answer(
     metadata: &ResponseMetadata,
     status: StatusCode,
     request_id: &str,
@@ -200,3 +243,22 @@
     }
     Ok(())
 }
+
+/// Checks that an answer comes from a router that took the request. A router also passes on its own
+/// refusals, which have no server stamp.
+fn check_router_answer(
+    metadata: &ResponseMetadata,
+    status: StatusCode,
+    request_id: &str,
+) -> Result<(), Failure> {
+    if metadata.id.as_deref() != Some(request_id) {
+        return Err(Failure::Foreign);
+    }
+    if metadata.is_misdirected {
+        return Err(Failure::Moved);
+    }
+    if status.is_success() && (!metadata.has_server_stamp || metadata.is_encoded) {
+        return Err(Failure::Foreign);
+    }
+    Ok(())
+}
--- a/teaselworks/src/relay/body.rs
+++ b/teaselworks/src/relay/body.rs
@@ -34,13 +34,18 @@
 impl std::error::Error for BodyError {}
 
 /// A body that the router sends to an upstream or a caller.
-pub(super) type OutgoingBody = UnsyncBoxBody<Bytes, BodyError>;
+pub type OutgoingBody = UnsyncBoxBody<Bytes, BodyError>;
 
 /// Creates a body from bytes that are already complete.
 pub(super) fn from_bytes(bytes: Bytes) -> OutgoingBody {
     Full::new(bytes).map_err(|infallible| match infallible {}).boxed_unsync()
 }
 
+/// Creates a body without data.
+pub fn empty_body() -> OutgoingBody {
+    from_bytes(Bytes::new())
+}
+
 /// A body that owns a guard. The guard is dropped together with the body, after the body was sent
 /// or when its connection ends.
 pub(super) struct GuardedBody<G> {
--- a/teaselworks/src/relay/caller.rs
+++ b/teaselworks/src/relay/caller.rs
@@ -30,14 +30,15 @@
         self.0.load(Ordering::Relaxed)
     }
 
-    fn add(&self) -> OpenConnectionGuard {
+    /// Counts one more connection until the returned guard is dropped.
+    pub(super) fn add(&self) -> OpenConnectionGuard {
         self.0.fetch_add(1, Ordering::Relaxed);
         OpenConnectionGuard(self.0.clone())
     }
 }
 
 /// One counted connection; dropping it decrements the counter.
-struct OpenConnectionGuard(Arc<AtomicUsize>);
+pub(super) struct OpenConnectionGuard(Arc<AtomicUsize>);
 
 impl Drop for OpenConnectionGuard {
     fn drop(&mut self) {
--- a/teaselworks/src/relay/caller_connection.rs
+++ b/teaselworks/src/relay/caller_connection.rs
@@ -23,7 +23,7 @@
 use super::body::GuardedBody;
 use super::caller::ConnectionCounter;
 use super::io::{Activity, CallerStream};
-use super::serve::serve;
+use super::serve::{Origin, serve};
 use crate::kernel::ShutdownPhase;
 
 /// Minimum interval between checks of a connection for an expired timeout.
@@ -202,7 +202,7 @@
         request.version() != Version::HTTP_11 || requests_close(request.headers());
     activity.start_request(has_no_body);
     let guard = RequestGuard { shared: shared.clone(), activity: activity.clone() };
-    let mut response = serve(shared.clone(), request, &activity).await;
+    let mut response = serve(shared.clone(), request, &activity, Origin::Caller).await;
     // A stopping router closes the connection after each answer, so that callers send their next
     // request to another router. While many connections are open, none stays open idle.
     let is_stopping = shared.shutdown.phase() > ShutdownPhase::Running;
--- /dev/null
+++ b/teaselworks/src/relay/dispatch.rs
@@ -0,0 +1,134 @@
+//! Sends a request to a replica, or through another router while no replica of its service can be
+//! reached from this one.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use teaselworks_policy::retry::Failure;
+use teaselworks_policy::verdict::{Refusal, RefusalReason};
+
+use super::attempt::{Answer, Attempt, Recipient};
+use super::in_flight::InFlightRequest;
+use super::request_state::RequestState;
+use super::serve::Origin;
+use crate::event;
+
+/// Maximum number of routers that are asked to forward one request.
+const MAX_DETOURS: usize = 8;
+
+/// The result of one attempt, at a replica or through another router.
+pub(super) struct Dispatched {
+    pub(super) answer: Result<Answer, Failure>,
+    pub(super) in_flight: InFlightRequest,
+}
+
+impl RequestState {
+    /// Makes one attempt. Returns a refusal if there is nothing to send the request to.
+    ///
+    /// `resumed_after` is the identifier of the last complete event of a stream that is resumed.
+    pub(super) async fn dispatch(
+        &mut self,
+        resumed_after: Option<&str>,
+    ) -> Result<Dispatched, Refusal> {
+        let now = self.shared.now();
+        if !self.shared.fleet().needs_detour(now, &self.prepared.service) {
+            let dispatched = self.send_to_replica(resumed_after).await?;
+            if !self.has_failed_for_link(&dispatched) {
+                return Ok(dispatched);
+            }
+        }
+        match self.origin {
+            Origin::Caller => self.send_through_router(resumed_after).await,
+            Origin::Router => Err(self.unreachable()),
+        }
+    }
+
+    /// Returns whether nothing was sent because no new connection to a replica can be opened.
+    fn has_failed_for_link(&self, dispatched: &Dispatched) -> bool {
+        dispatched.answer.as_ref().is_err_and(|failure| !failure.was_sent())
+            && self.shared.fleet().is_link_down(&self.prepared.service)
+    }
+
+    async fn send_to_replica(
+        &mut self,
+        resumed_after: Option<&str>,
+    ) -> Result<Dispatched, Refusal> {
+        let placement = self.place(resumed_after)?;
+        let in_flight = self.track_in_flight(&placement);
+        let (body, size_bytes) =
+            self.body.for_attempt().ok_or(Refusal::may_have_run(RefusalReason::UpstreamFailed))?;
+        let recipient =
+            Recipient::Replica { upstream: &placement.upstream, holder: placement.holder };
+        let mut attempt = Attempt::new(&self.shared, &self.prepared, recipient, resumed_after);
+        if resumed_after.is_some() {
+            let answer = attempt.run(body, size_bytes).await;
+            return Ok(Dispatched { answer, in_flight });
+        }
+        let silence_timeout = self.prepared.route.silence_timeout();
+        let mut answer = std::pin::pin!(attempt.run(body, size_bytes));
+        let answer = match tokio::time::timeout(silence_timeout, answer.as_mut()).await {
+            Ok(answer) => answer,
+            Err(_) if self.try_take_silence_retry() => Err(Failure::Silent),
+            Err(_) => answer.await,
+        };
+        Ok(Dispatched { answer, in_flight })
+    }
+
+    /// Asks one router after the other to forward the request, until one has taken it.
+    async fn send_through_router(
+        &mut self,
+        resumed_after: Option<&str>,
+    ) -> Result<Dispatched, Refusal> {
+        for _ in 0..MAX_DETOURS {
+            let now = self.shared.now();
+            let remaining = self.prepared.deadline.remaining(now);
+            if remaining.is_zero() {
+                return Err(Refusal::not_run(RefusalReason::Deadline, None));
+            }
+            let router = self.shared.fleet().choose_detour(now, &self.prepared.service);
+            let (Some(router), Some((body, size_bytes))) = (router, self.body.for_attempt()) else {
+                break;
+            };
+            self.log_detour(router, remaining);
+            let recipient = Recipient::Router(router);
+            let mut attempt = Attempt::new(&self.shared, &self.prepared, recipient, resumed_after);
+            let answer = attempt.run(body, size_bytes).await;
+            let is_unavailable = answer
+                .as_ref()
+                .is_err_and(|failure| !failure.was_sent() || *failure == Failure::Moved);
+            if is_unavailable {
+                let now = self.shared.now();
+                self.shared.fleet().on_detour_unavailable(now, &self.prepared.service, router);
+                continue;
+            }
+            self.add_tried(router.to_string().into());
+            let in_flight = InFlightRequest::at_router(
+                self.shared.clone(),
+                self.prepared.service.clone(),
+                router,
+            );
+            return Ok(Dispatched { answer, in_flight });
+        }
+        Err(self.unreachable())
+    }
+
+    /// Returns the refusal of a request whose service cannot be reached from here.
+    fn unreachable(&self) -> Refusal {
+        let now = self.shared.now();
+        let max_retry_after = self.prepared.deadline.max_retry_after(now);
+        let service = &self.prepared.service;
+        let retry_after = self.shared.fleet().schedule_retry_after(now, service, max_retry_after);
+        Refusal::not_run(RefusalReason::Unreachable, Some(retry_after))
+    }
+
+    fn log_detour(&self, router: SocketAddr, remaining: Duration) {
+        self.shared.metrics.add_detour();
+        event::DETOUR_TAKEN.log(&[
+            event::text("request", &self.prepared.metadata.id),
+            event::text("service", &self.prepared.service),
+            event::text("router", &router),
+            event::number("attempt", u64::from(self.attempts()) + 1),
+            event::number("remaining_ms", remaining.as_millis() as u64),
+        ]);
+    }
+}
--- /dev/null
+++ b/teaselworks/src/relay/forwarded.rs
@@ -0,0 +1,28 @@
+//! Serves requests that another router forwards because it does not reach their service.
+
+use std::sync::Arc;
+
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::Shared;
+use super::body::{GuardedBody, OutgoingBody};
+use super::caller::OpenCallerConnections;
+use super::io::Activity;
+use super::serve::{Origin, serve};
+
+/// Serves one forwarded request and returns the response. A request that this router cannot serve
+/// either gets status 421, which tells the other router that it has not run.
+///
+/// The request counts in `open` until its response is sent, so that a planned stop waits for it.
+pub async fn serve_forwarded(
+    shared: Arc<Shared>,
+    open: &OpenCallerConnections,
+    request: Request<Incoming>,
+) -> Response<OutgoingBody> {
+    let guard = open.add();
+    let activity = Activity::new(shared.now());
+    let response = serve(shared, request, &activity, Origin::Router).await;
+    response.map(|body| GuardedBody::new(body, guard).boxed_unsync())
+}
--- a/teaselworks/src/relay/in_flight.rs
+++ b/teaselworks/src/relay/in_flight.rs
@@ -1,5 +1,6 @@
 //! Counts a request as in flight at an upstream until its attempt ends.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,8 @@
     incarnation: Incarnation,
     started_at: Duration,
     outcome: Option<RequestOutcome>,
+    /// Whether another router forwards the request, so that it says nothing about an upstream.
+    is_at_router: bool,
 }
 
 impl InFlightRequest {
@@ -25,7 +28,19 @@
     pub(super) fn new(shared: Arc<Shared>, service: Arc<str>, placement: &Placement) -> Self {
         let started_at = shared.now();
         let incarnation = placement.upstream.incarnation();
-        Self { shared, service, incarnation, started_at, outcome: None }
+        Self { shared, service, incarnation, started_at, outcome: None, is_at_router: false }
+    }
+
+    /// Tracks a request that the router at `address` forwards.
+    pub(super) fn at_router(shared: Arc<Shared>, service: Arc<str>, address: SocketAddr) -> Self {
+        let started_at = shared.now();
+        let incarnation = Incarnation { id: address.to_string().into(), address, started: None };
+        Self { shared, service, incarnation, started_at, outcome: None, is_at_router: true }
+    }
+
+    /// Returns whether another router forwards the request.
+    pub(super) fn is_at_router(&self) -> bool {
+        self.is_at_router
     }
 
     /// Returns the identifier of the upstream.
@@ -41,10 +56,20 @@
 
     /// Records that the head of the answer arrived, and after what time.
     pub(super) fn on_first_byte(&self) {
+        if self.is_at_router {
+            return;
+        }
         let now = self.shared.now();
         self.shared.fleet().on_first_byte(now, &self.service, now.saturating_sub(self.started_at));
     }
 
+    /// Records that a part of the body arrived.
+    pub(super) fn on_data(&self) {
+        if !self.is_at_router {
+            self.shared.fleet().on_data(self.shared.now(), &self.service);
+        }
+    }
+
     /// Records the load that the upstream reported with its answer.
     pub(super) fn on_load_report(&self, report: LoadReport) {
         let now = self.shared.now();
@@ -54,6 +79,9 @@
 
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
+        if self.is_at_router {
+            return;
+        }
         let now = self.shared.now();
         let elapsed = now.saturating_sub(self.started_at);
         let is_ejected = self.shared.fleet().on_attempt_end(
--- a/teaselworks/src/relay/request_progress.rs
+++ b/teaselworks/src/relay/request_progress.rs
@@ -8,6 +8,7 @@
 
 use super::Shared;
 use super::body::BodyError;
+use super::serve::Origin;
 use crate::event;
 
 /// A request in progress.
@@ -21,14 +22,28 @@
     arrived_at: Duration,
     time_to_first_byte: Option<Duration>,
     has_ended: bool,
+    origin: Origin,
 }
 
 impl RequestProgress {
     /// Counts a request as in progress from now on.
-    pub(super) fn begin(shared: Arc<Shared>, id: Arc<str>) -> Self {
+    pub(super) fn begin(shared: Arc<Shared>, id: Arc<str>, origin: Origin) -> Self {
         shared.metrics.add_in_progress(1);
         let arrived_at = shared.now();
-        Self { shared, id, route: None, arrived_at, time_to_first_byte: None, has_ended: false }
+        Self {
+            shared,
+            id,
+            route: None,
+            arrived_at,
+            time_to_first_byte: None,
+            has_ended: false,
+            origin,
+        }
+    }
+
+    /// Returns where the request came from.
+    pub(super) fn origin(&self) -> Origin {
+        self.origin
     }
 
     /// Sets the route of the request.
--- a/teaselworks/src/relay/request_state.rs
+++ b/teaselworks/src/relay/request_state.rs
@@ -12,6 +12,7 @@
 use super::Shared;
 use super::in_flight::InFlightRequest;
 use super::request::{PreparedRequest, RequestBody};
+use super::serve::Origin;
 use crate::event;
 
 /// State of a request that is being served, across all its attempts.
@@ -20,10 +21,12 @@
     pub(super) prepared: PreparedRequest,
     pub(super) configuration: Arc<Configuration>,
     pub(super) body: RequestBody,
-    /// Identifiers of the upstreams that were chosen so far, in order.
+    /// Identifiers of the upstreams that were chosen so far, in order, and addresses of the routers
+    /// that took the request.
     tried: Vec<Arc<str>>,
     /// Number of failed attempts that may have run the request.
     runs: u32,
+    pub(super) origin: Origin,
 }
 
 impl RequestState {
@@ -32,8 +35,14 @@
         prepared: PreparedRequest,
         configuration: Arc<Configuration>,
         body: RequestBody,
+        origin: Origin,
     ) -> Self {
-        Self { shared, prepared, configuration, body, tried: Vec::new(), runs: 0 }
+        Self { shared, prepared, configuration, body, tried: Vec::new(), runs: 0, origin }
+    }
+
+    /// Adds the router or upstream that an attempt went to.
+    pub(super) fn add_tried(&mut self, recipient: Arc<str>) {
+        self.tried.push(recipient);
     }
 
     /// Returns the number of attempts so far.
@@ -82,7 +91,7 @@
             event::number("remaining_ms", deadline.remaining(now).as_millis() as u64),
             event::text("after_event", &resumed_after.unwrap_or("")),
         ]);
-        self.tried.push(placement.upstream.id.clone());
+        self.add_tried(placement.upstream.id.clone());
         Ok(placement)
     }
 
@@ -170,6 +179,11 @@
         Ok(())
     }
 
+    /// Returns whether an earlier attempt may have run the request.
+    pub(super) fn has_possible_run(&self) -> bool {
+        self.runs > 0
+    }
+
     /// Returns whether to abandon a silent attempt for a retry, and if so takes the retry from the
     /// retry budget. Otherwise the attempt goes on: silence alone doesn't end a request.
     pub(super) fn try_take_silence_retry(&self) -> bool {
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -13,8 +13,9 @@
 use teaselworks_policy::verdict::{Refusal, RefusalReason};
 
 use super::Shared;
-use super::attempt::{Answer, Attempt};
+use super::attempt::Answer;
 use super::body::{self, OutgoingBody};
+use super::dispatch::Dispatched;
 use super::in_flight::InFlightRequest;
 use super::io::Activity;
 use super::request::{self, RequestBody};
@@ -30,24 +31,34 @@
 /// the request can be retried, or the caller gets an error status instead of a truncated answer.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 256 << 10;
 
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Origin {
+    /// A caller.
+    Caller,
+    /// Another router, which does not reach the replicas of the request's service.
+    Router,
+}
+
 /// Serves one request and returns the response.
 ///
-/// Marks the caller's connection as reusable in `activity` if the request body was read to its end.
+/// Marks the connection as reusable in `activity` if the request body was read to its end.
 pub(super) async fn serve(
     shared: Arc<Shared>,
     request: Request<Incoming>,
     activity: &Activity,
+    origin: Origin,
 ) -> Response<OutgoingBody> {
     let (head, incoming) = request.into_parts();
     let metadata = match headers::parse_request_headers(&head.headers) {
         Ok(metadata) => metadata,
         Err(_) => {
-            let progress = RequestProgress::begin(shared, "".into());
+            let progress = RequestProgress::begin(shared, "".into(), origin);
             return refuse(progress, None, &not_run_refusal(RefusalReason::Malformed), 0, None);
         }
     };
     let id = metadata.id.clone();
-    let mut progress = RequestProgress::begin(shared.clone(), id.clone());
+    let mut progress = RequestProgress::begin(shared.clone(), id.clone(), origin);
     let Some(configuration) = shared.configuration().await else {
         let refusal = Refusal::not_run(RefusalReason::NoConfiguration, Some(STARTUP_RETRY_AFTER));
         return refuse(progress, Some(&id), &refusal, 0, None);
@@ -61,18 +72,23 @@
     if let Err(refusal) = shared.admit(&prepared.route.name, &prepared.deadline) {
         return refuse(progress, Some(&id), &refusal, 0, version);
     }
-    prepared.is_late = shared.fleet().on_request(
-        shared.now(),
-        &prepared.service,
-        &prepared.route,
-        prepared.metadata.deadline,
-    );
+    // The router that the caller sent the request to has counted it already.
+    if origin == Origin::Caller {
+        prepared.is_late = shared.fleet().on_request(
+            shared.now(),
+            &prepared.service,
+            &prepared.route,
+            prepared.metadata.deadline,
+        );
+    }
     let body = request::read_body(incoming, &prepared.headers, &configuration.limits).await;
     if body.as_ref().is_ok_and(RequestBody::is_buffered) {
         activity.set_reusable(true);
     }
     match body {
-        Ok(body) => RequestState::new(shared, prepared, configuration, body).run(progress).await,
+        Ok(body) => {
+            RequestState::new(shared, prepared, configuration, body, origin).run(progress).await
+        }
         Err(reason) => refuse(progress, Some(&id), &not_run_refusal(reason), 0, version),
     }
 }
@@ -90,8 +106,11 @@
     attempts: u32,
     version: Option<u64>,
 ) -> Response<OutgoingBody> {
+    let status = match progress.origin() {
+        Origin::Router if refusal.is_local() => Ok(StatusCode::MISDIRECTED_REQUEST),
+        Origin::Caller | Origin::Router => StatusCode::from_u16(refusal.http_status()),
+    };
     progress.refused(refusal, attempts, version);
-    let status = StatusCode::from_u16(refusal.http_status());
     let mut response = Response::new(body::from_bytes(Bytes::new()));
     *response.status_mut() = status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     *response.headers_mut() = headers::router_response_headers(id, refusal.retry_after);
@@ -123,34 +142,11 @@
         // succeeds.
         let mut last_error_answer: Option<CompleteAnswer> = None;
         loop {
-            let placement = match self.place(None) {
-                Ok(placement) => placement,
+            let dispatched = match self.dispatch(None).await {
+                Ok(dispatched) => dispatched,
                 Err(refusal) => return self.give_up(progress, last_error_answer, refusal),
             };
-            let in_flight = self.track_in_flight(&placement);
-            let Some((body, size_bytes)) = self.body.for_attempt() else {
-                let refusal = Refusal::may_have_run(RefusalReason::UpstreamFailed);
-                return self.give_up(progress, last_error_answer, refusal);
-            };
-            let mut attempt = Attempt {
-                shared: &self.shared,
-                prepared: &self.prepared,
-                upstream: &placement.upstream,
-                holder: placement.holder,
-                last_event_id: None,
-                was_sent: false,
-            };
-            let answer = {
-                let silence_timeout = self.prepared.route.silence_timeout();
-                let mut answer_future = std::pin::pin!(attempt.run(body, size_bytes));
-                match tokio::time::timeout(silence_timeout, answer_future.as_mut()).await {
-                    Ok(answer) => answer,
-                    Err(_) if self.try_take_silence_retry() => Err(Failure::Silent),
-                    Err(_) => answer_future.await,
-                }
-            };
-            let (failure, error_answer) = match self.receive(answer, in_flight, &mut progress).await
-            {
+            let (failure, error_answer) = match self.receive(dispatched, &mut progress).await {
                 AttemptResult::Complete(answer) => return self.forward(progress, answer),
                 AttemptResult::Stream(answer) => return stream::respond(*answer, self, progress),
                 AttemptResult::Failed(failure, error_answer) => (failure, error_answer),
@@ -169,10 +165,10 @@
     /// answer, in the state of the fleet.
     async fn receive(
         &mut self,
-        answer: Result<Answer, Failure>,
-        mut in_flight: InFlightRequest,
+        dispatched: Dispatched,
         progress: &mut RequestProgress,
     ) -> AttemptResult {
+        let Dispatched { answer, mut in_flight } = dispatched;
         let answer = match answer {
             Ok(answer) => answer,
             Err(failure) => {
@@ -218,6 +214,7 @@
                     return AttemptResult::Failed(Failure::Broken, None);
                 }
             };
+            in_flight.on_data();
             bytes.extend_from_slice(&data);
             if bytes.len() > MAX_BUFFERED_ANSWER_BYTES {
                 return AttemptResult::Stream(Box::new(StreamingAnswer::new(
@@ -233,6 +230,10 @@
         }
         let upstream = in_flight.upstream().clone();
         let answer = CompleteAnswer { upstream, status, headers, bytes: bytes.freeze() };
+        let is_router_refusal = in_flight.is_at_router() && !metadata.has_server_stamp;
+        if is_router_refusal && !self.has_possible_run() {
+            return AttemptResult::Complete(answer);
+        }
         if !status.is_server_error() && !is_not_run_status(status) {
             in_flight.set_outcome(RequestOutcome::Answered);
             return AttemptResult::Complete(answer);
--- a/teaselworks/src/relay/shared.rs
+++ b/teaselworks/src/relay/shared.rs
@@ -1,5 +1,6 @@
 //! State of the router that all requests share.
 
+use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
@@ -8,11 +9,12 @@
 use teaselworks_policy::deadline::Deadline;
 use teaselworks_policy::fleet::Fleet;
 use teaselworks_policy::stop::StopPlan;
-use teaselworks_policy::upstream::{EjectionChange, SharedObservations};
+use teaselworks_policy::upstream::{EjectionChange, Incarnation, LinkChange, SharedObservations};
 use teaselworks_policy::verdict::Refusal;
 use tokio::sync::Notify;
 
 use super::ConnectionPool;
+use super::upstream_connection::Connection;
 use crate::event;
 use crate::kernel::{Shutdown, ShutdownPhase};
 use crate::metrics::Metrics;
@@ -130,8 +132,76 @@
         }
     }
 
+    /// Opens a connection to a replica, and records how long that took or why it failed: the connect
+    /// timeout of later connections and the state of the link to the service are derived from it.
+    ///
+    /// `reason` is the identifier of the request that needs the connection, for the log.
+    pub(super) async fn open_connection(
+        &self,
+        service: &Arc<str>,
+        incarnation: &Incarnation,
+        reason: &str,
+    ) -> io::Result<Connection> {
+        let started_at = self.now();
+        let timeout = self.fleet().connect_times.timeout();
+        let opened = self.connections.open(incarnation, timeout).await;
+        let now = self.now();
+        let elapsed = now.saturating_sub(started_at);
+        let change = {
+            let mut fleet = self.fleet();
+            match &opened {
+                Ok(_) => fleet.connect_times.on_opened(elapsed),
+                Err(error) if error.kind() == io::ErrorKind::TimedOut => {
+                    fleet.connect_times.on_timeout();
+                }
+                Err(_) => {}
+            }
+            fleet.on_connect(now, service, &incarnation.id, opened.is_ok())
+        };
+        if let Err(error) = &opened {
+            self.metrics.add_connect_failure(error.kind());
+            event::CONNECT_FAILED.log(&[
+                event::text("request", &reason),
+                event::text("upstream", &incarnation.id),
+                event::text("address", &incarnation.address),
+                event::text("cause", error),
+                event::number("elapsed_ms", elapsed.as_millis() as u64),
+                event::number("timeout_ms", timeout.as_millis() as u64),
+            ]);
+        }
+        if let Some(change) = change {
+            log_link_change(service, change);
+        }
+        opened
+    }
+
+    /// Opens a connection to a replica in order to find out whether its service can be reached. The
+    /// connection is kept for a later request.
+    pub async fn probe_link(&self, service: &Arc<str>, incarnation: &Incarnation) {
+        if let Ok(connection) = self.open_connection(service, incarnation, "").await {
+            connection.release(self.now());
+        }
+    }
+
     /// Locks the state of the fleet for one decision. Don't hold the guard across an `.await`.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         self.fleet.lock().expect("fleet state lock is never poisoned, since no decision panics")
     }
 }
+
+fn log_link_change(service: &Arc<str>, change: LinkChange) {
+    match change {
+        LinkChange::Down { failed_replicas, silent_for } => {
+            let silent_ms = silent_for.map_or(-1, |time| time.as_millis() as i64);
+            event::LINK_LOST.log(&[
+                event::text("service", service),
+                event::number("failed_replicas", failed_replicas as u64),
+                event::text("silent_ms", &silent_ms),
+            ]);
+        }
+        LinkChange::Up { down_for } => event::LINK_RESTORED.log(&[
+            event::text("service", service),
+            event::number("down_ms", down_for.as_millis() as u64),
+        ]),
+    }
+}
--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -15,8 +15,9 @@
 use tokio::time::{Instant, Sleep};
 
 use super::EventSplitter;
-use super::attempt::{Answer, Attempt};
+use super::attempt::Answer;
 use super::body::{BodyError, OutgoingBody};
+use super::dispatch::Dispatched;
 use super::in_flight::InFlightRequest;
 use super::request_progress::RequestProgress;
 use super::request_state::{RequestState, request_outcome};
@@ -168,7 +169,10 @@
                 None => return Ok(None),
                 // Trailers concern only the upstream connection and are not forwarded.
                 Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => return Ok(Some(data)),
+                    Ok(data) => {
+                        source.in_flight.on_data();
+                        return Ok(Some(data));
+                    }
                     Err(_trailers) => {}
                 },
                 Some(Err(_)) => self.resume(Failure::Broken).await?,
@@ -187,6 +191,12 @@
             return Ok(());
         }
         self.silence_timer.as_mut().reset(Instant::now() + silence_timeout);
+        let is_at_router =
+            self.source.as_ref().is_some_and(|source| source.in_flight.is_at_router());
+        // The router that forwards the request decides on a silent replica.
+        if is_at_router {
+            return Ok(());
+        }
         if self.splitter.is_some() && self.request_state.try_take_silence_retry() {
             self.resume(Failure::Silent).await?;
             self.last_arrival = self.request_state.shared.now();
@@ -212,19 +222,9 @@
         loop {
             self.request_state.authorize_retry(failure, true).map_err(|_| BodyError::Broken)?;
             let after = last_id.as_deref();
-            let placement = self.request_state.place(after).map_err(|_| BodyError::Broken)?;
-            let mut in_flight = self.request_state.track_in_flight(&placement);
-            let (body, size_bytes) =
-                self.request_state.body.for_attempt().ok_or(BodyError::Broken)?;
-            let mut attempt = Attempt {
-                shared: &self.request_state.shared,
-                prepared: &self.request_state.prepared,
-                upstream: &placement.upstream,
-                holder: placement.holder,
-                last_event_id: after,
-                was_sent: false,
-            };
-            let answer = match attempt.run(body, size_bytes).await {
+            let Dispatched { answer, mut in_flight } =
+                self.request_state.dispatch(after).await.map_err(|_| BodyError::Broken)?;
+            let answer = match answer {
                 Ok(answer) if answer.status == self.status => answer,
                 Ok(_) => {
                     in_flight.set_outcome(RequestOutcome::Error);
--- a/teaselworks/tests/partitions.rs
+++ b/teaselworks/tests/partitions.rs
@@ -9,7 +9,7 @@
 use teaselworks_standin::caller::{Call, Connection, Reply, call};
 use teaselworks_standin::fleet::{Fleet, wait_until};
 use teaselworks_standin::links::Partition;
-use teaselworks_standin::upstream::{Script, Step, chunk, event, stream_head};
+use teaselworks_standin::upstream::{Script, Step, chunk, event, raw_response, stream_head};
 
 /// Time after which a router that is cut off must serve its callers again.
 const DETECTION_BOUND: Duration = Duration::from_secs(3);
@@ -53,6 +53,19 @@
     replies.iter().map(|replies| replies.iter().filter(|reply| is_served(reply)).count()).collect()
 }
 
+/// Makes requests last so long that a router needs more connections than it has open.
+fn make_requests_overlap(fleet: &Fleet) {
+    for engine in &fleet.engines {
+        engine.set_behaviour(|req| Script::stream(req, 1..6, REQUEST_INTERVAL, true));
+    }
+    for archive in &fleet.archives {
+        archive.set_behaviour(|req| {
+            let respond = Step::Write(raw_response(req.id(), 200, "a verse"));
+            Script::new(vec![Step::Pause(3 * REQUEST_INTERVAL), respond])
+        });
+    }
+}
+
 /// Returns how many times replicas ran a request.
 fn count_runs(fleet: &Fleet, id: &str) -> usize {
     fleet.archives.iter().chain(&fleet.engines).map(|upstream| upstream.run_count(id)).sum()
@@ -61,6 +74,7 @@
 /// Cuts `cut` of four routers off from all replicas and checks that their callers are served.
 async fn check_partition(partition: Partition, cut: usize) {
     let mut fleet = Fleet::start_with_links(program(), 4).await.unwrap();
+    make_requests_overlap(&fleet);
     assert_eq!(count_served(&fleet, "before", 8).await, [8; 4], "{partition:?}");
     for links in &mut fleet.links[..cut] {
         links.partition(partition);
@@ -85,7 +99,14 @@
     for links in &mut fleet.links {
         links.heal();
     }
-    fleet.routers[0].wait_for_events("links_restored", 1).await.unwrap();
+    wait_until("every link restored", async || {
+        fleet
+            .routers
+            .iter()
+            .all(|router| router.events("link_lost").len() == router.events("link_restored").len())
+    })
+    .await
+    .unwrap();
     let served = count_served(&fleet, "after", COMPARED_REQUESTS).await;
     assert!(served.iter().all(|served| *served >= COMPARED_REQUESTS * 9 / 10), "{served:?}");
 }
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -5,6 +5,7 @@
 //! reports and from what other routers share.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,8 +20,8 @@
 use crate::retry::{BudgetSettings, RetryBudget};
 use crate::stop::{Arrival, StopPlan};
 use crate::upstream::{
-    Change, ConnectTimes, EjectionChange, Incarnation, LoadReport, ObservationIndex, Pool,
-    RequestOutcome, SharedObservations, Upstream,
+    Change, ConnectTimes, EjectionChange, Incarnation, LinkChange, LoadReport, ObservationIndex,
+    Pool, RequestOutcome, SharedObservations, Upstream,
 };
 use crate::verdict::{Refusal, RefusalReason};
 
@@ -297,6 +298,61 @@
         }
     }
 
+    /// Returns whether requests for a service have to be forwarded through another router: no
+    /// connection to a replica can be opened, and open ones carry no data.
+    pub fn needs_detour(&self, now: Duration, service: &str) -> bool {
+        self.pool(service).is_some_and(|pool| pool.link().is_down() && pool.link().is_silent(now))
+    }
+
+    /// Returns whether no new connection to a replica of a service can be opened.
+    pub fn is_link_down(&self, service: &str) -> bool {
+        self.pool(service).is_some_and(|pool| pool.link().is_down())
+    }
+
+    /// Chooses another router to forward a request for a service through; `None` if there is none,
+    /// or each was lately not able to serve such a request.
+    pub fn choose_detour(&mut self, now: Duration, service: &str) -> Option<SocketAddr> {
+        let pool = self.pools.get(service)?;
+        pool.detours.choose(now, &self.membership.listed_addresses(), &mut self.random)
+    }
+
+    /// Records that a router did not run a request for a service that was forwarded to it.
+    pub fn on_detour_unavailable(&mut self, now: Duration, service: &str, router: SocketAddr) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.detours.on_unavailable(now, router);
+        }
+    }
+
+    /// Records whether a connection to a replica could be opened. Returns the change of this
+    /// router's link to the service.
+    pub fn on_connect(
+        &mut self,
+        now: Duration,
+        service: &str,
+        replica: &Arc<str>,
+        is_open: bool,
+    ) -> Option<LinkChange> {
+        self.pools.get_mut(service)?.on_connect(now, replica, is_open)
+    }
+
+    /// Records that data of an answer arrived from a replica of a service.
+    pub fn on_data(&mut self, now: Duration, service: &str) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.on_data(now);
+        }
+    }
+
+    /// Returns the replicas to open a connection to, with their services, in order to find out
+    /// whether this router reaches them.
+    pub fn probes(&mut self, now: Duration) -> Vec<(Arc<str>, Incarnation)> {
+        let mut probes = Vec::new();
+        for (service, pool) in &mut self.pools {
+            let probed = pool.probes(now, &mut self.random);
+            probes.extend(probed.into_iter().map(|replica| (service.clone(), replica)));
+        }
+        probes
+    }
+
     /// Records how long a request waited for the first byte of its answer.
     pub fn on_first_byte(&mut self, now: Duration, service: &str, waited: Duration) {
         let routers = self.membership.live_count();
--- a/teaselworks_policy/src/membership.rs
+++ b/teaselworks_policy/src/membership.rs
@@ -188,6 +188,24 @@
         assigned.map(|(_, peer)| peer.address)
     }
 
+    /// Returns the addresses of the other routers that are registered.
+    ///
+    /// ```
+    /// use teaselworks_policy::membership::Membership;
+    ///
+    /// let mut membership = Membership::new("a".into(), Vec::new());
+    /// membership.put("a".into(), ([127, 0, 0, 1], 80).into());
+    /// membership.put("b".into(), ([127, 0, 0, 1], 81).into());
+    /// assert_eq!(membership.listed_addresses(), [([127, 0, 0, 1], 81).into()]);
+    /// ```
+    pub fn listed_addresses(&self) -> Vec<SocketAddr> {
+        let others = self
+            .peers
+            .iter()
+            .filter(|(name, peer)| **name != self.own_name && peer.unlisted_since.is_none());
+        others.map(|(_, peer)| peer.address).collect()
+    }
+
     /// Returns the addresses of the other routers in the order in which to query them: registered
     /// routers, those no longer registered, then the seed addresses.
     pub fn addresses(&self) -> Vec<SocketAddr> {
--- a/teaselworks_policy/src/placement/mod.rs
+++ b/teaselworks_policy/src/placement/mod.rs
@@ -2,12 +2,14 @@
 
 mod admission;
 mod choice;
+mod detour;
 mod prompt;
 mod rendezvous;
 mod retry_after;
 mod scan;
 
 pub use self::choice::{Placement, PlacementReason, PlacementRequest, PlacementSettings, place};
+pub use self::detour::Detours;
 pub use self::prompt::{Prompt, PromptPart};
 pub use self::rendezvous::{hash_upstream_id, rendezvous_score};
 pub use self::retry_after::RetryAfterSchedule;
--- a/teaselworks_policy/src/placement/scan.rs
+++ b/teaselworks_policy/src/placement/scan.rs
@@ -226,6 +226,5 @@
 /// Tells whether a replica takes requests (it is neither draining nor has an entry that cannot be
 /// decoded) and was not tried for this request; ignores its health.
 fn is_eligible(member: &Member, tried: &[Arc<str>]) -> bool {
-    let is_available = !member.is_draining && !member.is_suspended;
-    is_available && (tried.is_empty() || !tried.contains(&member.upstream.id))
+    member.takes_requests() && (tried.is_empty() || !tried.contains(&member.upstream.id))
 }
--- a/teaselworks_policy/src/upstream/health.rs
+++ b/teaselworks_policy/src/upstream/health.rs
@@ -36,6 +36,8 @@
     /// last ended an ejection.
     ejection_count: u32,
     ejected_until: Option<Duration>,
+    /// Time of the last ejection.
+    ejected_at: Option<Duration>,
     /// Whether the probe, the single request that follows an ejection, is in progress. Requests
     /// that were sent before the ejection are not told apart from the probe: the end of one clears
     /// this as well.
@@ -127,12 +129,35 @@
         true
     }
 
+    /// Forgets requests without an answer, and ends an ejection that began later than `since`
+    /// (`None`: at any time), because this router's own link was at fault.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselworks_policy::upstream::Health;
+    ///
+    /// let second = Duration::from_secs(1);
+    /// let mut health = Health::default();
+    /// health.eject_for_peer_failures(second);
+    /// health.forgive_since(Some(2 * second));
+    /// assert!(!health.is_usable(second));
+    /// health.forgive_since(Some(second / 2));
+    /// assert!(health.is_usable(second));
+    /// ```
+    pub fn forgive_since(&mut self, since: Option<Duration>) {
+        self.consecutive_unanswered = 0;
+        if self.ejected_at.is_some_and(|ejected_at| since.is_none_or(|since| ejected_at > since)) {
+            *self = Self { failure_rate: self.failure_rate, ..Self::default() };
+        }
+    }
+
     fn eject(&mut self, now: Duration) {
         // The exponent is limited to keep the shift from overflowing.
         let time = BASE_EJECTION_TIME
             .saturating_mul(1 << self.ejection_count.min(8))
             .min(MAX_EJECTION_TIME);
         self.ejection_count += 1;
+        self.ejected_at = Some(now);
         self.ejected_until = Some(now + time);
     }
 
--- a/teaselworks_policy/src/upstream/mod.rs
+++ b/teaselworks_policy/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod concurrency;
 mod connecting;
 mod health;
+mod link;
 mod load;
 mod observations;
 mod pool;
@@ -17,6 +18,7 @@
 pub use self::concurrency::ConcurrencyLimit;
 pub use self::connecting::ConnectTimes;
 pub use self::health::{Health, RequestOutcome};
+pub use self::link::{LinkChange, ServiceLink};
 pub use self::load::{AverageLoad, Load, LoadReport, PeerLoad};
 pub use self::observations::{
     EjectionChange, ObservationIndex, SharedFailures, SharedLoad, SharedObservations,
--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::{Duration, UNIX_EPOCH};
 
-use crate::placement::{RetryAfterSchedule, hash_upstream_id, rendezvous_score};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::placement::{Detours, RetryAfterSchedule, hash_upstream_id, rendezvous_score};
 
 use super::{
-    ConcurrencyLimit, EjectionChange, Health, Incarnation, Load, LoadReport, ObservationIndex,
-    Reachability, RequestOutcome, ServiceLoad, SharedFailures, SharedLoad, SharedObservations,
-    SlotShare, Upstream,
+    ConcurrencyLimit, EjectionChange, Health, Incarnation, LinkChange, Load, LoadReport,
+    ObservationIndex, Reachability, RequestOutcome, ServiceLink, ServiceLoad, SharedFailures,
+    SharedLoad, SharedObservations, SlotShare, Upstream,
 };
 
 /// Weight of the latest request in the exponential moving average of request times.
@@ -65,6 +68,11 @@
 }
 
 impl Member {
+    /// Returns whether the replica takes new requests, whatever its health.
+    pub fn takes_requests(&self) -> bool {
+        !self.is_draining && !self.is_suspended
+    }
+
     /// Returns a hash that differs between starts of the same replica.
     fn incarnation_hash(&self) -> u64 {
         let started = self.upstream.started.and_then(|at| at.duration_since(UNIX_EPOCH).ok());
@@ -85,8 +93,12 @@
     concurrency_limit: ConcurrencyLimit,
     /// Limit that is derived from the load reports that routers share.
     slot_share: SlotShare,
+    /// This router's link to the replicas.
+    link: ServiceLink,
     /// Schedule of the retries of callers that were refused.
     pub schedule: RetryAfterSchedule,
+    /// Routers to forward requests through while the link is down.
+    pub detours: Detours,
 }
 
 impl Pool {
@@ -165,9 +177,55 @@
         self.members.iter().filter(move |member| member.health.is_usable(now))
     }
 
+    /// Returns this router's link to the replicas.
+    pub fn link(&self) -> &ServiceLink {
+        &self.link
+    }
+
+    /// Records that data of an answer arrived from a replica.
+    pub fn on_data(&mut self, now: Duration) {
+        self.link.on_data(now);
+    }
+
+    /// Records whether a connection to a replica could be opened. Returns the change of the link.
+    ///
+    /// Ejections that began after the last contact with any replica end when the link goes down:
+    /// the link, not the replicas, made their requests fail.
+    pub fn on_connect(
+        &mut self,
+        now: Duration,
+        replica: &Arc<str>,
+        is_open: bool,
+    ) -> Option<LinkChange> {
+        if is_open {
+            return self.link.on_connected(now);
+        }
+        let replicas = self.members.iter().filter(|member| member.takes_requests()).count();
+        let change = self.link.on_connect_failed(now, replica, replicas)?;
+        let contact_at = self.link.contact_at();
+        for member in &mut self.members {
+            member.health.forgive_since(contact_at);
+        }
+        Some(change)
+    }
+
+    /// Returns the replicas to open a connection to in order to find out whether the service can
+    /// be reached.
+    pub fn probes(&mut self, now: Duration, random: &mut impl Rng) -> Vec<Incarnation> {
+        let count = self.link.probes_due(now);
+        if count == 0 {
+            return Vec::new();
+        }
+        let available: Vec<&Member> =
+            self.members.iter().filter(|member| member.takes_requests()).collect();
+        let probed = available.sample(random, count);
+        probed.map(|member| member.upstream.incarnation()).collect()
+    }
+
     /// Records how long a request waited for the first byte of its answer, in a fleet of `routers`
     /// routers.
     pub fn on_first_byte(&mut self, now: Duration, waited: Duration, routers: u32) {
+        self.link.on_data(now);
         let Some(target_latency) = self.target_latency else { return };
         let slots: u32 = self.usable(now).map(|member| member.upstream.slots).sum();
         let requests_per_slot = if self.has_load_reports {
@@ -207,6 +265,7 @@
 
     /// Counts a request that is sent to a replica.
     pub fn begin_request(&mut self, now: Duration, incarnation: &Incarnation) {
+        self.link.begin_request(now);
         let Some(member) = self.find_incarnation(incarnation) else { return };
         member.load.begin_request();
         member.health.begin_request(now);
@@ -224,6 +283,11 @@
         outcome: Option<RequestOutcome>,
         took: Duration,
     ) -> bool {
+        self.link.end_request();
+        if matches!(outcome, Some(RequestOutcome::Answered | RequestOutcome::Error)) {
+            self.link.on_data(now);
+        }
+        let outcome = outcome.filter(|outcome| !self.is_due_to_link(*outcome));
         let mean_failure_rate = self.mean_failure_rate();
         let Some(member) = self.find_incarnation(incarnation) else { return false };
         member.load.end_request();
@@ -247,6 +311,12 @@
         }
     }
 
+    /// Returns whether a request failed because the link is down, which says nothing about the
+    /// replica.
+    fn is_due_to_link(&self, outcome: RequestOutcome) -> bool {
+        self.link.is_down() && outcome == RequestOutcome::NoAnswer
+    }
+
     /// Returns the observations of the replicas that this router made or received later than the
     /// clock reading `after`. With `only_own`, leaves out those that it received from other
     /// routers.
--- a/teaselworks_policy/src/verdict.rs
+++ b/teaselworks_policy/src/verdict.rs
@@ -186,6 +186,28 @@
         Self { reason, verdict: Verdict::MayHaveRun, retry_after: None }
     }
 
+    /// Returns whether the reason concerns only this router, so that another one may serve the
+    /// request.
+    ///
+    /// ```
+    /// use teaselworks_policy::verdict::{Refusal, RefusalReason};
+    ///
+    /// assert!(Refusal::not_run(RefusalReason::Stopping, None).is_local());
+    /// assert!(!Refusal::may_have_run(RefusalReason::Unreachable).is_local());
+    /// ```
+    pub fn is_local(&self) -> bool {
+        let is_local_reason = matches!(
+            self.reason,
+            RefusalReason::NoConfiguration
+                | RefusalReason::UnknownRoute
+                | RefusalReason::Unauthorized
+                | RefusalReason::NoReplica
+                | RefusalReason::Unreachable
+                | RefusalReason::Stopping
+        );
+        is_local_reason && self.verdict == Verdict::NotRun
+    }
+
     /// Returns the HTTP status of the answer.
     ///
     /// Callers take 408, 421, 429 and 503 to mean that the request was not executed, and send it
