A router that reaches no replica of a service does not share failures there

A hundred cut routers would report failures at each sound replica, requests sent later than its last known answer among them, so that routers which reach it eject it for up to a second, again and again.

A failure is now shared only if the router has been in contact with some replica of the service since it sent the request, and not while its link is down.

--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -327,12 +327,15 @@
         only_own: bool,
     ) -> SharedObservations {
         let mut observations = SharedObservations::default();
+        let contact_at = self.link.contact_at().filter(|_| !self.link.is_down());
         for member in &self.members {
             let incarnation = member.incarnation_hash();
             if let Some((total, age)) = member.load.report_after(now, after, only_own) {
                 observations.loads.push(SharedLoad { incarnation, total, age });
             }
-            if let Some((count, age)) = member.reach.failures_after(now, after, only_own) {
+            if let Some((count, age)) =
+                member.reach.failures_after(now, after, only_own, contact_at)
+            {
                 observations.failures.push(SharedFailures { incarnation, count, age });
             }
         }
--- a/teaselworks_policy/src/upstream/reach.rs
+++ b/teaselworks_policy/src/upstream/reach.rs
@@ -80,13 +80,21 @@
     /// Returns the number of failures that this router learnt of later than the clock reading
     /// `after`, and the time since the first of these requests was sent. With `only_own`, leaves
     /// out failures of other routers.
+    ///
+    /// Own failures count only if this router has been in contact with some replica of the service
+    /// (`contact_at`) since it sent the request. Otherwise its own link may be at fault.
     pub fn failures_after(
         &self,
         now: Duration,
         after: Duration,
         only_own: bool,
+        contact_at: Option<Duration>,
     ) -> Option<(u32, Duration)> {
-        let is_new = |known: &&Failures| known.received_at > after && (known.is_own || !only_own);
+        let is_shared = |known: &&Failures| match known.is_own {
+            true => contact_at.is_some_and(|contact_at| contact_at > known.sent_at),
+            false => !only_own,
+        };
+        let is_new = |known: &&Failures| known.received_at > after && is_shared(known);
         let new = || self.failures.iter().filter(is_new);
         let first = new().map(|known| known.sent_at).min()?;
         Some((new().map(|known| known.count).sum(), now.saturating_sub(first)))
--- a/teaselworks_policy/tests/observations.rs
+++ b/teaselworks_policy/tests/observations.rs
@@ -97,7 +97,9 @@
     assert_eq!(known_report_age(&current, SECOND), None);
 }
 
+/// Fails requests to the first replica at a router that gets answers from others of the service.
 fn fail_requests(fleet: &mut Fleet, now: Duration, times: u32) {
+    fleet.on_data(now, "service");
     let incarnation = Upstream::example("i-1", "service").incarnation();
     for _ in 0..times {
         fleet.on_attempt_end(
@@ -187,3 +189,24 @@
         "a report takes precedence over the average"
     );
 }
+
+/// Guards against routers that are cut off from all replicas and make the others eject replicas
+/// that work: what fails is their own link.
+#[test]
+fn routers_that_reach_no_replica_do_not_make_others_eject_any() {
+    let upstreams = ["i-1", "i-2"].map(|id| Upstream::example(id, "service"));
+    let mut healthy = new_router(&upstreams);
+    for _ in 0..3 {
+        let mut cut = new_router(&upstreams);
+        cut.on_data(SECOND, "service");
+        for upstream in &upstreams {
+            let incarnation = upstream.incarnation();
+            let outcome = Some(RequestOutcome::NoAnswer);
+            cut.on_attempt_end(3 * SECOND, "service", &incarnation, outcome, SECOND);
+        }
+        let now = 7 * SECOND / 2;
+        healthy.apply_observations(now, &cut.observations_after(now, Duration::ZERO, true));
+    }
+    let members = healthy.pool("service").unwrap().members();
+    assert!(members.iter().all(|member| member.health.is_usable(7 * SECOND / 2)));
+}
