A forwarded request runs at most as often as its route allows

The router that forwarded a request had retried it, and the caller's router retried it again through another one when the answer was an error.

The limit on runs now travels with the request, less those that the caller's router has used, and a request that another router took is not sent again: that router has retried it where that is allowed.

a_forwarded_request_runs_at_most_as_often_as_its_route_allows failed before with 4 runs of 2.

--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -12,6 +12,7 @@
 
 use super::Shared;
 use super::body::OutgoingBody;
+use super::forwarded::MAX_RUNS;
 use super::request::PreparedRequest;
 use super::upstream_connection::Connection;
 use crate::net::CONNECT_TIMEOUT;
@@ -36,7 +37,11 @@
         holder: Option<SocketAddr>,
     },
     /// Another router, which forwards the request to a replica.
-    Router(SocketAddr),
+    Router {
+        address: SocketAddr,
+        /// How many times it may have the request run.
+        max_runs: u32,
+    },
 }
 
 impl Recipient<'_> {
@@ -44,7 +49,7 @@
     fn incarnation(self) -> Incarnation {
         match self {
             Recipient::Replica { upstream, .. } => upstream.incarnation(),
-            Recipient::Router(address) => {
+            Recipient::Router { address, .. } => {
                 Incarnation { id: address.to_string().into(), address, started: None }
             }
         }
@@ -125,7 +130,7 @@
                 let id = &self.prepared.metadata.id;
                 self.shared.open_connection(&self.prepared.service, incarnation, id).await
             }
-            Recipient::Router(_) => {
+            Recipient::Router { .. } => {
                 self.shared.connections.open(incarnation, CONNECT_TIMEOUT).await
             }
         }
@@ -168,11 +173,7 @@
             Recipient::Replica { upstream, holder } => {
                 self.replica_request_headers(upstream, holder)
             }
-            Recipient::Router(_) => headers::router_request_headers(
-                &prepared.headers,
-                prepared.deadline.remaining(self.shared.now()),
-                self.last_event_id,
-            ),
+            Recipient::Router { max_runs, .. } => self.router_request_headers(max_runs),
         };
         if let Some(size) = size_bytes {
             forwarded.insert(header::CONTENT_LENGTH, HeaderValue::from(size));
@@ -184,6 +185,15 @@
         request
     }
 
+    fn router_request_headers(&self, max_runs: u32) -> HeaderMap {
+        let prepared = self.prepared;
+        let remaining = prepared.deadline.remaining(self.shared.now());
+        let mut headers =
+            headers::router_request_headers(&prepared.headers, remaining, self.last_event_id);
+        headers.insert(MAX_RUNS, HeaderValue::from(max_runs));
+        headers
+    }
+
     fn replica_request_headers(
         &self,
         upstream: &Upstream,
@@ -206,7 +216,7 @@
         let id = &self.prepared.metadata.id;
         match self.recipient {
             Recipient::Replica { .. } => check_replica_answer(metadata, status, id),
-            Recipient::Router(_) => check_router_answer(metadata, status, id),
+            Recipient::Router { .. } => check_router_answer(metadata, status, id),
         }
     }
 }
--- a/teaselworks/src/relay/dispatch.rs
+++ b/teaselworks/src/relay/dispatch.rs
@@ -39,7 +39,7 @@
         }
         match self.origin {
             Origin::Caller => self.send_through_router(resumed_after).await,
-            Origin::Router => Err(self.unreachable()),
+            Origin::Router { .. } => Err(self.unreachable()),
         }
     }
 
@@ -90,7 +90,7 @@
                 break;
             };
             self.log_detour(router, remaining);
-            let recipient = Recipient::Router(router);
+            let recipient = Recipient::Router { address: router, max_runs: self.remaining_runs() };
             let mut attempt = Attempt::new(&self.shared, &self.prepared, recipient, resumed_after);
             let answer = attempt.run(body, size_bytes).await;
             let is_unavailable = answer
@@ -101,7 +101,7 @@
                 self.shared.fleet().on_detour_unavailable(now, &self.prepared.service, router);
                 continue;
             }
-            self.add_tried(router.to_string().into());
+            self.hand_over(router);
             let in_flight = InFlightRequest::at_router(
                 self.shared.clone(),
                 self.prepared.service.clone(),
--- a/teaselworks/src/relay/forwarded.rs
+++ b/teaselworks/src/relay/forwarded.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use http::{Request, Response};
+use http::{HeaderName, Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -12,6 +12,9 @@
 use super::io::Activity;
 use super::serve::{Origin, serve};
 
+/// Header of a forwarded request: how many times the router that gets it may have it run.
+pub(super) const MAX_RUNS: HeaderName = HeaderName::from_static("teaselworks-max-runs");
+
 /// Serves one forwarded request and returns the response. A request that this router cannot serve
 /// either gets status 421, which tells the other router that it has not run.
 ///
@@ -19,10 +22,12 @@
 pub async fn serve_forwarded(
     shared: Arc<Shared>,
     open: &OpenCallerConnections,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
 ) -> Response<OutgoingBody> {
     let guard = open.add();
+    let max_runs = request.headers_mut().remove(MAX_RUNS);
+    let max_runs = max_runs.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(1);
     let activity = Activity::new(shared.now());
-    let response = serve(shared, request, &activity, Origin::Router).await;
+    let response = serve(shared, request, &activity, Origin::Router { max_runs }).await;
     response.map(|body| GuardedBody::new(body, guard).boxed_unsync())
 }
--- a/teaselworks/src/relay/request_state.rs
+++ b/teaselworks/src/relay/request_state.rs
@@ -1,5 +1,6 @@
 //! The state of one request across its attempts, and the decisions on placement and retries.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use http::HeaderMap;
@@ -26,6 +27,10 @@
     tried: Vec<Arc<str>>,
     /// Number of failed attempts that may have run the request.
     runs: u32,
+    /// Limit on `runs`: with this many, the request is not retried.
+    max_runs: u32,
+    /// Whether another router took the request, and retries it if that is allowed.
+    is_handed_over: bool,
     pub(super) origin: Origin,
 }
 
@@ -37,12 +42,32 @@
         body: RequestBody,
         origin: Origin,
     ) -> Self {
-        Self { shared, prepared, configuration, body, tried: Vec::new(), runs: 0, origin }
+        let max_runs = match origin {
+            Origin::Caller => prepared.route.max_attempts,
+            Origin::Router { max_runs } => max_runs.min(prepared.route.max_attempts),
+        };
+        Self {
+            shared,
+            prepared,
+            configuration,
+            body,
+            tried: Vec::new(),
+            runs: 0,
+            max_runs,
+            is_handed_over: false,
+            origin,
+        }
+    }
+
+    /// Records that the router at `address` took the request.
+    pub(super) fn hand_over(&mut self, address: SocketAddr) {
+        self.tried.push(address.to_string().into());
+        self.is_handed_over = true;
     }
 
-    /// Adds the router or upstream that an attempt went to.
-    pub(super) fn add_tried(&mut self, recipient: Arc<str>) {
-        self.tried.push(recipient);
+    /// Returns how many more times the request may run.
+    pub(super) fn remaining_runs(&self) -> u32 {
+        self.max_runs.saturating_sub(self.runs)
     }
 
     /// Returns the number of attempts so far.
@@ -91,7 +116,7 @@
             event::number("remaining_ms", deadline.remaining(now).as_millis() as u64),
             event::text("after_event", &resumed_after.unwrap_or("")),
         ]);
-        self.add_tried(placement.upstream.id.clone());
+        self.tried.push(placement.upstream.id.clone());
         Ok(placement)
     }
 
@@ -106,7 +131,7 @@
     /// may still have to resume the answer.
     pub(super) fn release_request(&mut self) {
         let route = &self.prepared.route;
-        if route.is_idempotent() && self.runs + 1 < route.max_attempts {
+        if route.is_idempotent() && self.runs + 1 < self.max_runs && !self.is_handed_over {
             return;
         }
         self.body.release();
@@ -135,12 +160,13 @@
         let now = self.shared.now();
         // A body that was forwarded while it arrived is not buffered and can't be sent to another
         // upstream. `decide_retry` allows no retry at the maximum count.
-        let tried_count = if self.body.is_buffered() { self.attempts() } else { u32::MAX };
+        let can_be_sent_again = self.body.is_buffered() && !self.is_handed_over;
+        let tried_count = if can_be_sent_again { self.attempts() } else { u32::MAX };
         let history = AttemptHistory {
             is_idempotent: self.prepared.route.is_idempotent(),
             tried_count,
             runs: self.runs,
-            max_runs: self.prepared.route.max_attempts,
+            max_runs: self.max_runs,
             remaining: self.prepared.deadline.remaining(now),
         };
         let max_retry_after = self.prepared.deadline.max_retry_after(now);
@@ -190,7 +216,7 @@
         let route = &self.prepared.route;
         let now = self.shared.now();
         let remaining = self.prepared.deadline.remaining(now);
-        let has_run_left = self.runs + 1 < route.max_attempts;
+        let has_run_left = self.runs + 1 < self.max_runs;
         route.is_idempotent()
             && self.body.is_buffered()
             && has_run_left
@@ -207,7 +233,7 @@
             event::text("verdict", &failure.verdict()),
             event::text("reason", &refusal.reason),
             event::number("attempt", self.attempts().into()),
-            event::number("max_runs", self.prepared.route.max_attempts.into()),
+            event::number("max_runs", self.max_runs.into()),
         ]);
     }
 
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -37,7 +37,10 @@
     /// A caller.
     Caller,
     /// Another router, which does not reach the replicas of the request's service.
-    Router,
+    Router {
+        /// How many times the request may run.
+        max_runs: u32,
+    },
 }
 
 /// Serves one request and returns the response.
@@ -107,8 +110,8 @@
     version: Option<u64>,
 ) -> Response<OutgoingBody> {
     let status = match progress.origin() {
-        Origin::Router if refusal.is_local() => Ok(StatusCode::MISDIRECTED_REQUEST),
-        Origin::Caller | Origin::Router => StatusCode::from_u16(refusal.http_status()),
+        Origin::Router { .. } if refusal.is_local() => Ok(StatusCode::MISDIRECTED_REQUEST),
+        Origin::Caller | Origin::Router { .. } => StatusCode::from_u16(refusal.http_status()),
     };
     progress.refused(refusal, attempts, version);
     let mut response = Response::new(body::from_bytes(Bytes::new()));
@@ -230,8 +233,8 @@
         }
         let upstream = in_flight.upstream().clone();
         let answer = CompleteAnswer { upstream, status, headers, bytes: bytes.freeze() };
-        let is_router_refusal = in_flight.is_at_router() && !metadata.has_server_stamp;
-        if is_router_refusal && !self.has_possible_run() {
+        // The other router has retried the request where that is allowed.
+        if in_flight.is_at_router() && !(is_not_run_status(status) && self.has_possible_run()) {
             return AttemptResult::Complete(answer);
         }
         if !status.is_server_error() && !is_not_run_status(status) {
--- a/teaselworks/tests/partitions.rs
+++ b/teaselworks/tests/partitions.rs
@@ -173,3 +173,23 @@
     .await
     .unwrap();
 }
+
+/// Guards against a request that runs more often than its route allows, because the router that its
+/// caller sent it to and the one that forwards it both retry it.
+#[tokio::test]
+async fn a_forwarded_request_runs_at_most_as_often_as_its_route_allows() {
+    let mut fleet = Fleet::start_with_links(program(), 3).await.unwrap();
+    fleet.links[0].partition(Partition::Resetting);
+    let requests = (DETECTION_BOUND.as_millis() / REQUEST_INTERVAL.as_millis()) as usize;
+    count_served(&fleet, "early", requests).await;
+    for archive in &fleet.archives {
+        archive.set_behaviour(|req| Script::response(req, 500, "out of ink"));
+    }
+    for number in 0..8 {
+        let id = format!("failing-{number}");
+        let sent = request("GET", "/read/a", &id);
+        let reply = call(fleet.routers[0].callers_address(), &sent).await.unwrap();
+        assert_eq!((reply.status(), reply.text().as_str()), (500, "out of ink"));
+        assert_eq!(count_runs(&fleet, &id), 2, "the route allows two runs");
+    }
+}
