Log what a replica that rejects a request asks for

attempt_retried with reason "rejected" does not say whether the replica asked for rest, so that a router which ignores that cannot be told from one to which it was never said. attempt_rejected gives the status and the rest asked for.

--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -58,6 +58,7 @@
     ATTEMPT_FAILED = 802 Info "attempt_failed" "An attempt failed and the request is not retried; the fields name how it failed and why there is no retry.";
     CONNECT_FAILED = 803 Info "connect_failed" "A connection to an upstream could not be opened; the fields name the cause, how long it took, and the timeout that applied.";
     DETOUR_TAKEN = 804 Info "detour_taken" "A request is sent to another router, which forwards it, because this router reaches no replica of the service.";
+    ATTEMPT_REJECTED = 805 Info "attempt_rejected" "An upstream answered that it did not run a request; the fields give its status and the rest that it asks for (-1: none).";
 
     // 900-999: upstreams.
     UPSTREAM_SERVING = 900 Info "upstream_serving" "An upstream accepts requests, or its properties changed.";
--- a/teaselworks/src/platform/headers.rs
+++ b/teaselworks/src/platform/headers.rs
@@ -278,6 +278,8 @@
     pub is_encoded: bool,
     /// Load that the upstream reports.
     pub load: Option<LoadReport>,
+    /// Time for which an upstream that rejected a request wants no other one from this router.
+    pub rest: Option<Duration>,
     /// The upstream closes the connection after the response.
     pub closes_connection: bool,
     /// Time for which the upstream keeps the connection open while it is idle.
@@ -287,6 +289,9 @@
 /// HTTP status 421 (Misdirected Request): the request names another upstream.
 const MISDIRECTED_REQUEST: u16 = 421;
 
+/// HTTP status 503 (Service Unavailable).
+const SERVICE_UNAVAILABLE: u16 = 503;
+
 /// Parses the status and the headers of an upstream's response.
 pub fn parse_response_headers(status: u16, headers: &HeaderMap) -> ResponseMetadata {
     let is_misdirected = status == MISDIRECTED_REQUEST;
@@ -297,6 +302,9 @@
         is_misdirected,
         is_encoded: headers.contains_key(header::CONTENT_ENCODING),
         load: single_value(headers, &SERVER_LOAD).and_then(parse_load),
+        rest: (status == SERVICE_UNAVAILABLE)
+            .then(|| single_value(headers, &header::RETRY_AFTER).and_then(parse_seconds))
+            .flatten(),
         closes_connection: connection_options(headers).iter().any(|option| option == "close"),
         keep_alive: single_value(headers, &KEEP_ALIVE).and_then(parse_keep_alive),
     }
@@ -310,6 +318,12 @@
     Some(LoadReport { running, waiting })
 }
 
+/// Parses a number of seconds from 0 to 1e6, which may have a fraction.
+fn parse_seconds(value: &str) -> Option<Duration> {
+    let seconds: f64 = value.trim().parse().ok()?;
+    (0.0..=1e6).contains(&seconds).then(|| Duration::from_secs_f64(seconds))
+}
+
 /// Parses the `timeout` option of a `keep-alive` header, which is in seconds.
 fn parse_keep_alive(value: &str) -> Option<Duration> {
     for option in value.split(',') {
--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -15,6 +15,7 @@
 use super::forwarded::MAX_RUNS;
 use super::request::PreparedRequest;
 use super::upstream_connection::Connection;
+use crate::event;
 use crate::net::CONNECT_TIMEOUT;
 use crate::platform::headers::{self, AddedHeaders, ResponseMetadata};
 
@@ -161,6 +162,9 @@
         let metadata = headers::parse_response_headers(head.status.as_u16(), &head.headers);
         connection.set_keep_alive(metadata.keep_alive);
         let checked = self.check_answer(&metadata, head.status);
+        if checked == Err(Failure::Rejected) {
+            self.log_rejection(&metadata, head.status);
+        }
         let headers = headers::caller_response_headers(&head.headers);
         let answer = Answer { status: head.status, headers, metadata, body, connection };
         Ok(checked.map(|()| answer))
@@ -211,6 +215,16 @@
         headers::upstream_request_headers(&prepared.headers, &added)
     }
 
+    fn log_rejection(&self, metadata: &ResponseMetadata, status: StatusCode) {
+        let rest_ms = metadata.rest.map_or(-1, |rest| rest.as_millis() as i64);
+        event::ATTEMPT_REJECTED.log(&[
+            event::text("request", &self.prepared.metadata.id),
+            event::text("upstream", &self.recipient.incarnation().id),
+            event::number("status", status.as_u16().into()),
+            event::text("rest_ms", &rest_ms),
+        ]);
+    }
+
     /// Checks that an answer belongs to the request and comes from where it was sent.
     fn check_answer(&self, metadata: &ResponseMetadata, status: StatusCode) -> Result<(), Failure> {
         let id = &self.prepared.metadata.id;
