--- a/teaselworks_standin/src/upstream.rs
+++ b/teaselworks_standin/src/upstream.rs
@@ -87,9 +87,19 @@
 
     /// Rejects the request with a 503 and the header `x-not-executed`, without running it.
     pub fn rejected(req: &ReceivedRequest) -> Self {
+        Self::rejected_with(req, "")
+    }
+
+    /// Rejects the request like [`Script::rejected`] and asks for no other one for some seconds.
+    pub fn asking_for_rest(req: &ReceivedRequest, seconds: u32) -> Self {
+        Self::rejected_with(req, &format!("retry-after: {seconds}\r\n"))
+    }
+
+    /// Rejects the request with further header lines, each of which ends with a line break.
+    fn rejected_with(req: &ReceivedRequest, lines: &str) -> Self {
         let head = format!(
             "HTTP/1.1 503 Service Unavailable\r\nx-request-id: {}\r\nx-not-executed: 1\r\n\
-             content-length: 0\r\n\r\n",
+             {lines}content-length: 0\r\n\r\n",
             req.id()
         );
         Self { steps: vec![Step::Write(head.into_bytes())], is_run: false }
