A replica that asks for rest gets no request from this router until it is over

A replica that turned a request away with 503 and Retry-After got four more requests within its three seconds of rest, another one three; callers of those lost time, and rejections used up the retry budget so that 20 requests at four routers were refused.

Cause: the router read X-Not-Executed and ignored Retry-After next to it. Only the failure rate of the last ten or so requests ended the placements, and the probe after an ejection began them again.

Change: the rest is kept with the incarnation of the replica. A resting replica is not eligible, which the fallback to ejected replicas cannot override, and stays a holder of cached prompts. If all replicas that could be chosen rest, callers are refused at once ("resting") with the time until the first has rested. Another router may serve a forwarded request then, since the rest concerns one router only.

--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -163,7 +163,7 @@
         connection.set_keep_alive(metadata.keep_alive);
         let checked = self.check_answer(&metadata, head.status);
         if checked == Err(Failure::Rejected) {
-            self.log_rejection(&metadata, head.status);
+            self.on_rejected(&metadata, head.status);
         }
         let headers = headers::caller_response_headers(&head.headers);
         let answer = Answer { status: head.status, headers, metadata, body, connection };
@@ -215,11 +215,17 @@
         headers::upstream_request_headers(&prepared.headers, &added)
     }
 
-    fn log_rejection(&self, metadata: &ResponseMetadata, status: StatusCode) {
+    /// Records the rest that a replica asks for.
+    fn on_rejected(&self, metadata: &ResponseMetadata, status: StatusCode) {
+        let incarnation = self.recipient.incarnation();
+        if let Some(rest) = metadata.rest {
+            let now = self.shared.now();
+            self.shared.fleet().on_rest(now, &self.prepared.service, &incarnation, rest);
+        }
         let rest_ms = metadata.rest.map_or(-1, |rest| rest.as_millis() as i64);
         event::ATTEMPT_REJECTED.log(&[
             event::text("request", &self.prepared.metadata.id),
-            event::text("upstream", &self.recipient.incarnation().id),
+            event::text("upstream", &incarnation.id),
             event::number("status", status.as_u16().into()),
             event::text("rest_ms", &rest_ms),
         ]);
--- a/teaselworks/tests/rest.rs
+++ b/teaselworks/tests/rest.rs
@@ -18,6 +18,9 @@
 const ALLOWED_REQUESTS: usize = 2;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Returns the request with a number.
+type MakeCall = fn(u64) -> Call;
+
 /// Makes a replica ask for rest once and answer every other request.
 fn ask_for_rest_once(replica: &Upstream) {
     let has_asked = AtomicBool::new(false);
@@ -36,7 +39,7 @@
 
 /// Sends requests to the first router one after the other, with identifiers and chats of their own,
 /// and returns the replies.
-async fn send(fleet: &Fleet, count: usize, make: fn(u64) -> Call) -> Vec<Reply> {
+async fn send(fleet: &Fleet, count: usize, make: MakeCall) -> Vec<Reply> {
     static NEXT_NUMBER: AtomicU64 = AtomicU64::new(0);
     let mut replies = Vec::new();
     for _ in 0..count {
@@ -48,7 +51,7 @@
 }
 
 /// Sends requests until one more has reached the replica.
-async fn reach(fleet: &Fleet, replica: &Upstream, make: fn(u64) -> Call) {
+async fn reach(fleet: &Fleet, replica: &Upstream, make: MakeCall) {
     let received = replica.received_requests().len();
     wait_until("a request reached the replica", async || {
         send(fleet, 1, make).await;
@@ -74,7 +77,7 @@
 #[tokio::test]
 async fn a_replica_that_asks_for_rest_gets_none_until_it_is_over() {
     let fleet = fleet(1).await;
-    let cases: [(&Upstream, fn(u64) -> Call); 3] = [
+    let cases: [(&Upstream, MakeCall); 3] = [
         (&fleet.archives[0], write),
         (&fleet.archives[1], read),
         (&fleet.engines[0], chat_of_its_own),
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -335,6 +335,19 @@
         self.pools.get_mut(service)?.on_connect(now, replica, is_open)
     }
 
+    /// Records that a replica wants no request from this router for the time `rest`.
+    pub fn on_rest(
+        &mut self,
+        now: Duration,
+        service: &str,
+        incarnation: &Incarnation,
+        rest: Duration,
+    ) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.on_rest(now, incarnation, rest);
+        }
+    }
+
     /// Records that data of an answer arrived from a replica of a service.
     pub fn on_data(&mut self, now: Duration, service: &str) {
         if let Some(pool) = self.pools.get_mut(service) {
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -150,8 +150,11 @@
 ) -> Result<Placement, Refusal> {
     let key = request.prompt.and_then(Prompt::affinity_key);
     let Some(scan) = Scan::new(pool, now, request, key, settings.routers) else {
-        let retry_after = NO_CANDIDATE_RETRY_AFTER.min(request.max_retry_after);
-        return Err(Refusal::not_run(RefusalReason::NoReplica, Some(retry_after)));
+        let (reason, retry_after) = match pool.shortest_rest(now) {
+            Some(rest) => (RefusalReason::Resting, rest),
+            None => (RefusalReason::NoReplica, NO_CANDIDATE_RETRY_AFTER),
+        };
+        return Err(Refusal::not_run(reason, Some(retry_after.min(request.max_retry_after))));
     };
     if let Some(reason) = admission::service_refusal(pool, now, &scan, request) {
         return Err(Refusal::not_run(reason, None));
--- a/teaselworks_policy/src/placement/scan.rs
+++ b/teaselworks_policy/src/placement/scan.rs
@@ -127,7 +127,7 @@
             if is_usable && self.key.is_some() && !member.has_empty_cache && !member.is_suspended {
                 self.holders.add(score, member);
             }
-            if !is_eligible(member, self.tried) {
+            if !is_eligible(member, self.tried, self.now) {
                 continue;
             }
             eligible_count += 1;
@@ -161,7 +161,7 @@
     }
 
     fn is_candidate(&self, member: &Member) -> bool {
-        is_eligible(member, self.tried)
+        is_eligible(member, self.tried, self.now)
             && (!self.excludes_unusable || member.health.is_usable(self.now))
     }
 
@@ -223,8 +223,9 @@
     }
 }
 
-/// Tells whether a replica takes requests (it is neither draining nor has an entry that cannot be
-/// decoded) and was not tried for this request; ignores its health.
-fn is_eligible(member: &Member, tried: &[Arc<str>]) -> bool {
-    member.takes_requests() && (tried.is_empty() || !tried.contains(&member.upstream.id))
+/// Tells whether a replica takes requests (it is neither draining nor resting nor has an entry that
+/// cannot be decoded) and was not tried for this request; ignores its health.
+fn is_eligible(member: &Member, tried: &[Arc<str>], now: Duration) -> bool {
+    let is_available = member.takes_requests() && member.remaining_rest(now).is_none();
+    is_available && (tried.is_empty() || !tried.contains(&member.upstream.id))
 }
--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -46,6 +46,8 @@
     /// Whether the replica's entry in the list of upstreams cannot be decoded at the moment, so
     /// that it takes no new requests.
     pub is_suspended: bool,
+    /// Time until which the replica wants no request from this router.
+    resting_until: Option<Duration>,
     /// Whether the replica has restarted and answered no request since, so that its prompt cache is
     /// empty.
     pub has_empty_cache: bool,
@@ -62,6 +64,7 @@
             reach: Reachability::default(),
             mean_request_time: None,
             is_suspended: false,
+            resting_until: None,
             has_empty_cache,
         }
     }
@@ -73,6 +76,11 @@
         !self.is_draining && !self.is_suspended
     }
 
+    /// Returns the time for which the replica still wants no request from this router.
+    pub fn remaining_rest(&self, now: Duration) -> Option<Duration> {
+        self.resting_until?.checked_sub(now).filter(|remaining| !remaining.is_zero())
+    }
+
     /// Returns a hash that differs between starts of the same replica.
     fn incarnation_hash(&self) -> u64 {
         let started = self.upstream.started.and_then(|at| at.duration_since(UNIX_EPOCH).ok());
@@ -263,6 +271,18 @@
         &self.members
     }
 
+    /// Records that a replica wants no request from this router for the time `rest`.
+    pub fn on_rest(&mut self, now: Duration, incarnation: &Incarnation, rest: Duration) {
+        let Some(member) = self.find_incarnation(incarnation) else { return };
+        member.resting_until = member.resting_until.max(now.checked_add(rest));
+    }
+
+    /// Returns the time after which the first of the replicas that rest takes requests again.
+    pub fn shortest_rest(&self, now: Duration) -> Option<Duration> {
+        let available = self.members.iter().filter(|member| member.takes_requests());
+        available.filter_map(|member| member.remaining_rest(now)).min()
+    }
+
     /// Counts a request that is sent to a replica.
     pub fn begin_request(&mut self, now: Duration, incarnation: &Incarnation) {
         self.link.begin_request(now);
--- a/teaselworks_policy/src/verdict.rs
+++ b/teaselworks_policy/src/verdict.rs
@@ -61,6 +61,8 @@
     /// No replica can be chosen: the route names no service, no replica of the service is known, or
     /// each replica is draining, has an entry that cannot be decoded, or was tried already.
     NoReplica,
+    /// No replica can be chosen, and some have asked this router for rest.
+    Resting,
     /// The expected wait for a slot at the chosen replica exceeds the share of the target latency
     /// that a request may wait, or the time left, and no replica with room was found instead.
     Overloaded,
@@ -90,7 +92,7 @@
 
 impl RefusalReason {
     /// All reasons, in the order in which the metrics list them.
-    pub const ALL: [RefusalReason; 16] = [
+    pub const ALL: [RefusalReason; 17] = [
         RefusalReason::NoConfiguration,
         RefusalReason::Malformed,
         RefusalReason::UnknownRoute,
@@ -98,6 +100,7 @@
         RefusalReason::TooLarge,
         RefusalReason::BodyTimeout,
         RefusalReason::NoReplica,
+        RefusalReason::Resting,
         RefusalReason::Overloaded,
         RefusalReason::Limited,
         RefusalReason::LateCaller,
@@ -133,6 +136,7 @@
             RefusalReason::TooLarge => "too_large",
             RefusalReason::BodyTimeout => "body_timeout",
             RefusalReason::NoReplica => "no_replica",
+            RefusalReason::Resting => "resting",
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::Limited => "limited",
             RefusalReason::LateCaller => "late_caller",
@@ -202,6 +206,7 @@
                 | RefusalReason::UnknownRoute
                 | RefusalReason::Unauthorized
                 | RefusalReason::NoReplica
+                | RefusalReason::Resting
                 | RefusalReason::Unreachable
                 | RefusalReason::Stopping
         );
@@ -232,6 +237,7 @@
             RefusalReason::TooLarge => 413,
             RefusalReason::NoConfiguration
             | RefusalReason::NoReplica
+            | RefusalReason::Resting
             | RefusalReason::Overloaded
             | RefusalReason::Limited
             | RefusalReason::LateCaller
