A replica that says with its answers that it is leaving gets no new requests

New rule: a replica that leaves says so in all its answers (Server-Leaving), and gets nothing from a router that has passed on such an answer, whatever its entry says. Its entry may lag, be renewed as ready, or go only at the end.

The core keeps the statement with the incarnation, apart from the state of the entry, which heartbeats overwrite. A router whose request was forwarded learns the same, since a router names the replica to other routers; otherwise it would use the replica once its own link is back.

--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -72,4 +72,5 @@
     UPSTREAM_READMITTED = 908 Info "upstream_readmitted" "An upstream that was ejected for failures at other routers gets requests again, because it answered a request.";
     LINK_LOST = 909 Warn "link_lost" "No connection to a replica of a service can be opened from this router; its requests are forwarded through other routers. The fields name how many replicas were tried and how long none of them has sent data (-1: never).";
     LINK_RESTORED = 910 Info "link_restored" "A connection to a replica of a service could be opened again.";
+    UPSTREAM_LEAVING = 911 Info "upstream_leaving" "An upstream said with an answer that it is leaving and gets no new requests, whatever its entry says.";
 }
--- a/teaselworks/src/platform/headers.rs
+++ b/teaselworks/src/platform/headers.rs
@@ -32,6 +32,8 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 const INSTANCE_ID: HeaderName = HeaderName::from_static("x-instance-id");
 const SERVER_LOAD: HeaderName = HeaderName::from_static("x-server-load");
+/// `1` in the answers of a replica that is leaving.
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Headers that apply to a single connection and are never forwarded.
@@ -278,6 +280,10 @@
     pub is_encoded: bool,
     /// Load that the upstream reports.
     pub load: Option<LoadReport>,
+    /// The upstream is leaving and wants no new requests.
+    pub is_leaving: bool,
+    /// Identifier of the upstream that answered, if stated.
+    pub upstream_id: Option<Box<str>>,
     /// Time for which an upstream that rejected a request wants no other one from this router.
     pub rest: Option<Duration>,
     /// The upstream closes the connection after the response.
@@ -302,6 +308,8 @@
         is_misdirected,
         is_encoded: headers.contains_key(header::CONTENT_ENCODING),
         load: single_value(headers, &SERVER_LOAD).and_then(parse_load),
+        is_leaving: single_value(headers, &SERVER_LEAVING) == Some("1"),
+        upstream_id: single_value(headers, &INSTANCE_ID).map(Box::from),
         rest: (status == SERVICE_UNAVAILABLE)
             .then(|| single_value(headers, &header::RETRY_AFTER).and_then(parse_seconds))
             .flatten(),
@@ -349,6 +357,11 @@
     forwarded
 }
 
+/// Names the upstream that answered in the headers of a response to another router.
+pub fn set_upstream_id(headers: &mut HeaderMap, id: &str) {
+    insert_if_valid(headers, INSTANCE_ID, id);
+}
+
 /// Returns the headers of a response that the router generates itself.
 ///
 /// `id` is the identifier of the request; `retry_after` is sent in seconds with three decimals.
--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -162,6 +162,9 @@
         let metadata = headers::parse_response_headers(head.status.as_u16(), &head.headers);
         connection.set_keep_alive(metadata.keep_alive);
         let checked = self.check_answer(&metadata, head.status);
+        if matches!(checked, Ok(()) | Err(Failure::Rejected)) && metadata.is_leaving {
+            self.on_leaving(&metadata);
+        }
         if checked == Err(Failure::Rejected) {
             self.on_rejected(&metadata, head.status);
         }
@@ -215,6 +218,17 @@
         headers::upstream_request_headers(&prepared.headers, &added)
     }
 
+    /// Records that the replica which answered, maybe through another router, is leaving.
+    fn on_leaving(&self, metadata: &ResponseMetadata) {
+        let id = match self.recipient {
+            Recipient::Replica { upstream, .. } => Some(&*upstream.id),
+            Recipient::Router { .. } => metadata.upstream_id.as_deref(),
+        };
+        if let Some(id) = id {
+            self.shared.on_leaving(&self.prepared.service, id);
+        }
+    }
+
     /// Records the rest that a replica asks for.
     fn on_rejected(&self, metadata: &ResponseMetadata, status: StatusCode) {
         let incarnation = self.recipient.incarnation();
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -270,6 +270,9 @@
         let mut response = Response::new(body::from_bytes(answer.bytes));
         *response.status_mut() = answer.status;
         *response.headers_mut() = answer.headers;
+        if let Origin::Router { .. } = self.origin {
+            headers::set_upstream_id(response.headers_mut(), &answer.upstream);
+        }
         response
     }
 }
--- a/teaselworks/src/relay/shared.rs
+++ b/teaselworks/src/relay/shared.rs
@@ -175,6 +175,16 @@
         opened
     }
 
+    /// Records that a replica has said that it is leaving, and closes its idle connections.
+    pub(super) fn on_leaving(&self, service: &Arc<str>, id: &str) {
+        if !self.fleet().on_leaving(service, id) {
+            return;
+        }
+        self.connections.close_idle(id);
+        event::UPSTREAM_LEAVING
+            .log(&[event::text("upstream", &id), event::text("service", service)]);
+    }
+
     /// Opens a connection to a replica in order to find out whether its service can be reached. The
     /// connection is kept for a later request.
     pub async fn probe_link(&self, service: &Arc<str>, incarnation: &Incarnation) {
--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -21,7 +21,9 @@
 use super::in_flight::InFlightRequest;
 use super::request_progress::RequestProgress;
 use super::request_state::{RequestState, request_outcome};
+use super::serve::Origin;
 use super::upstream_connection::Connection;
+use crate::platform::headers;
 
 /// Media type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -68,7 +70,10 @@
     request_state.release_request();
     let splitter = answer.has_events().then(EventSplitter::default);
     let remaining = request_state.prepared.deadline.remaining(request_state.shared.now());
-    let StreamingAnswer { status, headers, source, buffered } = answer;
+    let StreamingAnswer { status, mut headers, source, buffered } = answer;
+    if let Origin::Router { .. } = request_state.origin {
+        headers::set_upstream_id(&mut headers, source.in_flight.upstream());
+    }
     let relay = StreamRelay {
         buffered: Some(buffered).filter(|buffered| !buffered.is_empty()),
         status,
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -348,6 +348,12 @@
         }
     }
 
+    /// Records that a replica has said with an answer that it is leaving. Returns whether that was
+    /// not known before.
+    pub fn on_leaving(&mut self, service: &str, id: &str) -> bool {
+        self.pools.get_mut(service).is_some_and(|pool| pool.on_leaving(id))
+    }
+
     /// Records that data of an answer arrived from a replica of a service.
     pub fn on_data(&mut self, now: Duration, service: &str) {
         if let Some(pool) = self.pools.get_mut(service) {
--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -46,6 +46,9 @@
     /// Whether the replica's entry in the list of upstreams cannot be decoded at the moment, so
     /// that it takes no new requests.
     pub is_suspended: bool,
+    /// Whether the replica has said with an answer that it is leaving. Its entry may still list it
+    /// as ready.
+    is_leaving: bool,
     /// Time until which the replica wants no request from this router.
     resting_until: Option<Duration>,
     /// Whether the replica has restarted and answered no request since, so that its prompt cache is
@@ -64,6 +67,7 @@
             reach: Reachability::default(),
             mean_request_time: None,
             is_suspended: false,
+            is_leaving: false,
             resting_until: None,
             has_empty_cache,
         }
@@ -73,7 +77,7 @@
 impl Member {
     /// Returns whether the replica takes new requests, whatever its health.
     pub fn takes_requests(&self) -> bool {
-        !self.is_draining && !self.is_suspended
+        !self.is_draining && !self.is_leaving && !self.is_suspended
     }
 
     /// Returns the time for which the replica still wants no request from this router.
@@ -261,6 +265,12 @@
         }
     }
 
+    /// Sends no new requests to this incarnation of a replica, which has said that it is leaving.
+    /// Returns whether that was not known before.
+    pub fn on_leaving(&mut self, id: &str) -> bool {
+        self.find_mut(id).is_some_and(|member| !std::mem::replace(&mut member.is_leaving, true))
+    }
+
     /// Removes a replica.
     pub fn remove(&mut self, id: &str) {
         self.members.retain(|member| &*member.upstream.id != id);
--- a/teaselworks_standin/src/upstream.rs
+++ b/teaselworks_standin/src/upstream.rs
@@ -79,6 +79,21 @@
         Self { steps, is_run: true }
     }
 
+    /// Adds a header line to the head of the response.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the first step does not write a head.
+    pub fn with_header(mut self, line: &str) -> Self {
+        let Some(Step::Write(bytes)) = self.steps.first_mut() else {
+            panic!("the first step of the script does not write a head");
+        };
+        let head_end = bytes.windows(2).position(|pair| pair == b"\r\n");
+        let at = head_end.expect("the script writes a complete status line") + 2;
+        bytes.splice(at..at, format!("{line}\r\n").into_bytes());
+        self
+    }
+
     /// Appends a step.
     pub fn then(mut self, step: Step) -> Self {
         self.steps.push(step);
