Brittle replicas get requests only for free slots, and a pause after a rejection

New rule: replicas may say with all answers that they are brittle (Server-Brittle = N): soon they let fewer requests wait, and one that rejects more than N within a second falls over.

The statement holds for 5 s for the whole service. Meanwhile a request waits at no replica: it is placed up to 0.8 requests a slot by the estimate, 0.6 where routers share reports, which are older and known to hundreds; otherwise it is refused at once. A replica that rejects one gets nothing from that router for one to five seconds, as long as it takes all routers together to stay within half of N.

A real replica: a_brittle_replica_that_rejects_a_request_gets_none_for_a_while.

--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -58,7 +58,7 @@
     ATTEMPT_FAILED = 802 Info "attempt_failed" "An attempt failed and the request is not retried; the fields name how it failed and why there is no retry.";
     CONNECT_FAILED = 803 Info "connect_failed" "A connection to an upstream could not be opened; the fields name the cause, how long it took, and the timeout that applied.";
     DETOUR_TAKEN = 804 Info "detour_taken" "A request is sent to another router, which forwards it, because this router reaches no replica of the service.";
-    ATTEMPT_REJECTED = 805 Info "attempt_rejected" "An upstream answered that it did not run a request; the fields give its status and the rest that it asks for (-1: none).";
+    ATTEMPT_REJECTED = 805 Info "attempt_rejected" "An upstream answered that it did not run a request; the fields give its status and the time for which it gets no other one, as it asks or since it is brittle (-1: none).";
 
     // 900-999: upstreams.
     UPSTREAM_SERVING = 900 Info "upstream_serving" "An upstream accepts requests, or its properties changed.";
@@ -73,4 +73,5 @@
     LINK_LOST = 909 Warn "link_lost" "No connection to a replica of a service can be opened from this router; its requests are forwarded through other routers. The fields name how many replicas were tried and how long none of them has sent data (-1: never).";
     LINK_RESTORED = 910 Info "link_restored" "A connection to a replica of a service could be opened again.";
     UPSTREAM_LEAVING = 911 Info "upstream_leaving" "An upstream said with an answer that it is leaving and gets no new requests, whatever its entry says.";
+    SERVICE_BRITTLE = 912 Warn "service_brittle" "The replicas of a service say that one which rejects more requests than this within a second falls over; for as long as they say so, requests do not wait there, and a replica that rejects one gets none for a while.";
 }
--- a/teaselworks/src/platform/headers.rs
+++ b/teaselworks/src/platform/headers.rs
@@ -34,6 +34,8 @@
 const SERVER_LOAD: HeaderName = HeaderName::from_static("x-server-load");
 /// `1` in the answers of a replica that is leaving.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Number of requests that the replica can reject within a second without falling over.
+const SERVER_BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Headers that apply to a single connection and are never forwarded.
@@ -282,6 +284,8 @@
     pub load: Option<LoadReport>,
     /// The upstream is leaving and wants no new requests.
     pub is_leaving: bool,
+    /// The upstream is brittle: it falls over if it rejects more requests than this within a second.
+    pub max_rejections: Option<u32>,
     /// Identifier of the upstream that answered, if stated.
     pub upstream_id: Option<Box<str>>,
     /// Time for which an upstream that rejected a request wants no other one from this router.
@@ -309,6 +313,8 @@
         is_encoded: headers.contains_key(header::CONTENT_ENCODING),
         load: single_value(headers, &SERVER_LOAD).and_then(parse_load),
         is_leaving: single_value(headers, &SERVER_LEAVING) == Some("1"),
+        max_rejections: single_value(headers, &SERVER_BRITTLE)
+            .and_then(|value| value.trim().parse().ok()),
         upstream_id: single_value(headers, &INSTANCE_ID).map(Box::from),
         rest: (status == SERVICE_UNAVAILABLE)
             .then(|| single_value(headers, &header::RETRY_AFTER).and_then(parse_seconds))
--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -162,8 +162,8 @@
         let metadata = headers::parse_response_headers(head.status.as_u16(), &head.headers);
         connection.set_keep_alive(metadata.keep_alive);
         let checked = self.check_answer(&metadata, head.status);
-        if matches!(checked, Ok(()) | Err(Failure::Rejected)) && metadata.is_leaving {
-            self.on_leaving(&metadata);
+        if matches!(checked, Ok(()) | Err(Failure::Rejected)) {
+            self.on_statements(&metadata);
         }
         if checked == Err(Failure::Rejected) {
             self.on_rejected(&metadata, head.status);
@@ -218,25 +218,31 @@
         headers::upstream_request_headers(&prepared.headers, &added)
     }
 
-    /// Records that the replica which answered, maybe through another router, is leaving.
-    fn on_leaving(&self, metadata: &ResponseMetadata) {
+    /// Records what the replica which answered, maybe through another router, says about itself.
+    fn on_statements(&self, metadata: &ResponseMetadata) {
+        let service = &self.prepared.service;
         let id = match self.recipient {
             Recipient::Replica { upstream, .. } => Some(&*upstream.id),
             Recipient::Router { .. } => metadata.upstream_id.as_deref(),
         };
-        if let Some(id) = id {
-            self.shared.on_leaving(&self.prepared.service, id);
+        if let Some(id) = id.filter(|_| metadata.is_leaving) {
+            self.shared.on_leaving(service, id);
+        }
+        if let Some(max_rejections) = metadata.max_rejections {
+            self.shared.on_brittle(service, max_rejections);
         }
     }
 
-    /// Records the rest that a replica asks for.
+    /// Records the rest that a replica asks for, and that a brittle one gets in any case.
     fn on_rejected(&self, metadata: &ResponseMetadata, status: StatusCode) {
         let incarnation = self.recipient.incarnation();
+        let now = self.shared.now();
+        let service = &self.prepared.service;
+        let backoff = self.shared.fleet().on_rejected(now, service, &incarnation);
         if let Some(rest) = metadata.rest {
-            let now = self.shared.now();
-            self.shared.fleet().on_rest(now, &self.prepared.service, &incarnation, rest);
+            self.shared.fleet().on_rest(now, service, &incarnation, rest);
         }
-        let rest_ms = metadata.rest.map_or(-1, |rest| rest.as_millis() as i64);
+        let rest_ms = metadata.rest.max(backoff).map_or(-1, |rest| rest.as_millis() as i64);
         event::ATTEMPT_REJECTED.log(&[
             event::text("request", &self.prepared.metadata.id),
             event::text("upstream", &incarnation.id),
--- a/teaselworks/src/relay/shared.rs
+++ b/teaselworks/src/relay/shared.rs
@@ -185,6 +185,16 @@
             .log(&[event::text("upstream", &id), event::text("service", service)]);
     }
 
+    /// Records that the replicas of a service say they are brittle.
+    pub(super) fn on_brittle(&self, service: &Arc<str>, max_rejections: u32) {
+        if self.fleet().on_brittle(self.now(), service, max_rejections) {
+            event::SERVICE_BRITTLE.log(&[
+                event::text("service", service),
+                event::number("max_rejections", max_rejections.into()),
+            ]);
+        }
+    }
+
     /// Opens a connection to a replica in order to find out whether its service can be reached. The
     /// connection is kept for a later request.
     pub async fn probe_link(&self, service: &Arc<str>, incarnation: &Incarnation) {
--- a/teaselworks/tests/rest.rs
+++ b/teaselworks/tests/rest.rs
@@ -115,3 +115,27 @@
         .await
         .unwrap();
 }
+
+/// Guards against a brittle replica that falls over because it has to reject one request after the
+/// other, although it asks for no rest.
+#[tokio::test]
+async fn a_brittle_replica_that_rejects_a_request_gets_none_for_a_while() {
+    let fleet = fleet(1).await;
+    let replica = &fleet.archives[0];
+    let has_rejected = AtomicBool::new(false);
+    replica.set_behaviour(move |req| {
+        let is_first = !has_rejected.swap(true, Ordering::Relaxed);
+        let script = if is_first { Script::rejected(req) } else { answer(req) };
+        script.with_header("server-brittle: 8")
+    });
+    reach(&fleet, replica, read).await;
+    let received = replica.received_requests().len();
+    for number in 0..12 {
+        let sent = request("GET", "/read/a", &format!("later-{number}"));
+        assert_eq!(call(fleet.routers[0].callers_address(), &sent).await.unwrap().status(), 200);
+    }
+    assert_eq!(replica.received_requests().len(), received);
+    reach(&fleet, replica, read).await;
+    let logged = fleet.routers[0].wait_for_events("service_brittle", 1).await.unwrap();
+    assert_eq!(logged[0]["max_rejections"], 8);
+}
--- a/teaselworks_model/src/engine.rs
+++ b/teaselworks_model/src/engine.rs
@@ -90,11 +90,13 @@
         self.running.len() + self.waiting.len()
     }
 
-    /// Adds a job to the queue; returns false if the queue is full.
+    /// Adds a job to the queue; returns false if `queue` requests wait already.
     ///
     /// `is_cached_elsewhere` tells whether the shared part can be copied from another engine.
-    pub(crate) fn enqueue(&mut self, job: Job, is_cached_elsewhere: bool) -> bool {
-        if self.waiting.len() >= self.settings.queue as usize {
+    pub(crate) fn enqueue(&mut self, job: Job, is_cached_elsewhere: bool, queue: u32) -> bool {
+        // Jobs start with the next tick, so those that will find a free slot do not wait.
+        let free_slots = (self.settings.slots as usize).saturating_sub(self.running.len());
+        if self.waiting.len() >= queue as usize + free_slots {
             return false;
         }
         self.waiting.push_back((job, is_cached_elsewhere));
--- a/teaselworks_model/src/load.rs
+++ b/teaselworks_model/src/load.rs
@@ -35,6 +35,8 @@
     /// Periods in which some engines do not respond.
     #[serde(default, rename = "dark")]
     pub outages: Vec<Outage>,
+    /// Period in which the engines are brittle.
+    pub brittle: Option<Brittle>,
     /// Periods in which many requests have the same shared prompt part.
     #[serde(default, rename = "hot")]
     pub hot_parts: Vec<HotPart>,
@@ -134,6 +136,37 @@
     pub share: f64,
 }
 
+/// A period in which all engines say with their answers that they are brittle: soon they let fewer
+/// requests wait, and one that rejects too many within a second falls over.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Brittle {
+    /// Start of the period.
+    pub at_s: f64,
+    /// Length of the period.
+    pub for_s: f64,
+    /// Time after the start of the period from which fewer requests may wait.
+    pub notice_s: f64,
+    /// Number of requests that may wait at an engine.
+    pub queue: u32,
+    /// Largest number of requests that an engine can reject within a second.
+    pub max_rejections: u32,
+    /// Time for which an engine that fell over is down.
+    pub down_s: f64,
+}
+
+impl Brittle {
+    /// Returns whether the engines say that they are brittle.
+    pub(crate) fn is_announced(&self, now: Duration) -> bool {
+        is_within(now.as_secs_f64(), self.at_s, self.for_s)
+    }
+
+    /// Returns whether fewer requests may wait.
+    pub(crate) fn is_in_effect(&self, now: Duration) -> bool {
+        self.is_announced(now) && now.as_secs_f64() >= self.at_s + self.notice_s
+    }
+}
+
 /// A period in which many requests of a kind have the same shared prompt part.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/teaselworks_model/src/run.rs
+++ b/teaselworks_model/src/run.rs
@@ -76,6 +76,10 @@
     engines: Vec<Engine>,
     /// Whether each engine is down.
     is_down: Vec<bool>,
+    /// Times of the rejections of each engine within the last second.
+    rejected_at: Vec<Vec<Duration>>,
+    /// Time until which each engine is down because it fell over.
+    fallen_until: Vec<Duration>,
     /// Route of each kind of requests.
     routes: Vec<Route>,
     /// All requests so far.
@@ -107,6 +111,8 @@
             router_by_caller,
             engines,
             is_down: vec![false; load.engines.count as usize],
+            rejected_at: vec![Vec::new(); load.engines.count as usize],
+            fallen_until: vec![Duration::ZERO; load.engines.count as usize],
             routes: (0..load.kinds.len()).map(|kind| router::route_for_kind(load, kind)).collect(),
             requests: Vec::new(),
             in_flight: HashMap::new(),
@@ -153,7 +159,8 @@
     /// Starts and ends outages; an engine loses its requests and cache when it goes down.
     fn update_outages(&mut self) {
         for engine in 0..self.engines.len() {
-            let is_down = self.load.is_down(engine as u32, self.now);
+            let is_fallen = self.fallen_until[engine] > self.now;
+            let is_down = is_fallen || self.load.is_down(engine as u32, self.now);
             if std::mem::replace(&mut self.is_down[engine], is_down) == is_down || !is_down {
                 continue;
             }
@@ -280,11 +287,13 @@
             answer_tokens,
         };
         let shared_tokens = u64::from(job.shared_tokens);
-        if self.engines[engine].enqueue(job, is_cached_elsewhere) {
+        let brittle = self.load.brittle.filter(|brittle| brittle.is_in_effect(self.now));
+        let queue = brittle.map_or(self.load.engines.queue, |brittle| brittle.queue);
+        if self.engines[engine].enqueue(job, is_cached_elsewhere, queue) {
             self.outcome.totals.shared_tokens += shared_tokens;
             return;
         }
-        self.end(request, Some(RequestOutcome::Error));
+        self.on_rejected(engine, router, request);
         // As in `Deadline::max_retry_after`: a third of the time left, because the retry itself
         // needs the rest.
         let max_retry_after = self.requests[request].deadline.saturating_sub(self.now) / 3;
@@ -293,6 +302,32 @@
         self.on_refused(request, retry_after);
     }
 
+    /// Ends an attempt that an engine rejected; a brittle engine may fall over because of it.
+    fn on_rejected(&mut self, engine: usize, router: usize, request: usize) {
+        self.announce_brittleness(router);
+        let Some(ended) = self.end(request, Some(RequestOutcome::Error)) else { return };
+        self.routers[router].on_rejected(self.now, SERVICE, &ended.incarnation);
+        let Some(brittle) = self.load.brittle.filter(|brittle| brittle.is_in_effect(self.now))
+        else {
+            return;
+        };
+        let rejected_at = &mut self.rejected_at[engine];
+        rejected_at.retain(|at| *at + Duration::from_secs(1) > self.now);
+        rejected_at.push(self.now);
+        if rejected_at.len() > brittle.max_rejections as usize {
+            rejected_at.clear();
+            self.fallen_until[engine] = self.now + Duration::from_secs_f64(brittle.down_s);
+            self.outcome.totals.falls += 1;
+        }
+    }
+
+    /// Lets a router know that the engines are brittle, as each of their answers says.
+    fn announce_brittleness(&mut self, router: usize) {
+        if let Some(brittle) = self.load.brittle.filter(|brittle| brittle.is_announced(self.now)) {
+            self.routers[router].on_brittle(self.now, SERVICE, brittle.max_rejections);
+        }
+    }
+
     /// Records how the loads of `engine`, which a request has just reached, and of the busiest
     /// engine compare to the mean load.
     ///
@@ -329,7 +364,10 @@
     fn on_first_token(&mut self, request: usize) {
         let Some(attempt) = self.in_flight.get(&request) else { return };
         self.requests[request].first_token_at = Some(self.now);
-        let fleet = &mut self.routers[attempt.router];
+        let router = attempt.router;
+        self.announce_brittleness(router);
+        let Some(attempt) = self.in_flight.get(&request) else { return };
+        let fleet = &mut self.routers[router];
         fleet.on_first_byte(self.now, SERVICE, self.now.saturating_sub(attempt.sent_at));
         if let Some(report) = self.engines[attempt.engine].delayed_report(self.now) {
             fleet.on_load_report(self.now, SERVICE, &attempt.incarnation, report);
--- a/teaselworks_model/tests/loads.rs
+++ b/teaselworks_model/tests/loads.rs
@@ -16,6 +16,9 @@
 const HUNDREDS_OF_ROUTERS_BURST: &str = include_str!("../loads/hundreds-of-routers-burst.jsonc");
 const HUNDREDS_OF_ROUTERS_HOT_KEY: &str =
     include_str!("../loads/hundreds-of-routers-hot-key.jsonc");
+const BRITTLE_BURST: &str = include_str!("../loads/brittle-burst.jsonc");
+const HUNDREDS_OF_ROUTERS_BRITTLE_BURST: &str =
+    include_str!("../loads/hundreds-of-routers-brittle-burst.jsonc");
 const COLD_HOT_KEY: &str = include_str!("../loads/cold-hot-key.jsonc");
 const DARK_THIRD: &str = include_str!("../loads/dark-third.jsonc");
 
@@ -212,3 +215,16 @@
     let beyond_share = beyond as f64 / reached as f64;
     assert!(beyond_share < 0.03, "{beyond_share}");
 }
+
+/// Guards against brittle engines that fall over because routers send them more than may wait: at
+/// most two and a tenth of them may in one such time.
+#[test]
+fn brittle_engines_do_not_fall_over_in_a_burst() {
+    for text in [HUNDREDS_OF_ROUTERS_BRITTLE_BURST, BRITTLE_BURST] {
+        let engines = Load::parse(text).unwrap().engines.count;
+        simulate(text, |outcome| {
+            let falls = outcome.totals.falls;
+            assert!(falls as f64 <= 2.0 + f64::from(engines) / 10.0, "{falls} of {engines}");
+        });
+    }
+}
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -354,6 +354,26 @@
         self.pools.get_mut(service).is_some_and(|pool| pool.on_leaving(id))
     }
 
+    /// Records that the replicas of a service say they are brittle: one that has to reject more than
+    /// `max_rejections` requests within a second falls over. Returns whether that was not known
+    /// before.
+    pub fn on_brittle(&mut self, now: Duration, service: &str, max_rejections: u32) -> bool {
+        let pool = self.pools.get_mut(service);
+        pool.is_some_and(|pool| pool.on_brittle(now, max_rejections))
+    }
+
+    /// Records that a replica rejected a request. Returns the time for which it gets no other one
+    /// from this router, if it is brittle.
+    pub fn on_rejected(
+        &mut self,
+        now: Duration,
+        service: &str,
+        incarnation: &Incarnation,
+    ) -> Option<Duration> {
+        let routers = self.membership.live_count();
+        self.pools.get_mut(service)?.on_rejected(now, incarnation, routers)
+    }
+
     /// Records that data of an answer arrived from a replica of a service.
     pub fn on_data(&mut self, now: Duration, service: &str) {
         if let Some(pool) = self.pools.get_mut(service) {
--- a/teaselworks_policy/src/placement/admission.rs
+++ b/teaselworks_policy/src/placement/admission.rs
@@ -7,7 +7,7 @@
 
 use super::scan::Scan;
 use super::{PlacementRequest, PlacementSettings};
-use crate::upstream::{AverageLoad, Member, Pool};
+use crate::upstream::{AverageLoad, Member, Pool, brittle_requests_per_slot};
 use crate::verdict::RefusalReason;
 
 /// Share of the target latency that a request may wait for a slot. It is the same for every request
@@ -43,7 +43,8 @@
 
 /// Tells whether a request would wait at the replica for longer than it may.
 ///
-/// It may wait for a share of the service's target latency, and never beyond its deadline. A
+/// At a brittle replica it may not wait at all: few others may, and the replica falls over if it
+/// rejects too many. Elsewhere it may wait for a share of the service's target latency, and never beyond its deadline. A
 /// request that has started may wait at any replica.
 pub(super) fn exceeds_max_wait(
     pool: &Pool,
@@ -56,6 +57,11 @@
     if request.has_started {
         return false;
     }
+    if pool.is_brittle(now) {
+        let per_slot = brittle_requests_per_slot(member.load.has_shared_report());
+        let limit = per_slot * f64::from(member.upstream.slots);
+        return member.load.estimate(now, average_load) + 1.0 > limit.max(1.0);
+    }
     let max_wait = pool
         .target_latency()
         .map_or(request.remaining, |target_latency| target_latency.mul_f64(MAX_WAIT_SHARE));
--- a/teaselworks_policy/src/placement/scan.rs
+++ b/teaselworks_policy/src/placement/scan.rs
@@ -193,6 +193,7 @@
             total_requests: self.total_requests(),
             slots: f64::from(self.slots),
             routers: f64::from(self.average_load.routers),
+            is_brittle: self.pool.is_brittle(self.now),
             has_shared_reports: self.shared_report_count * 2 > self.candidate_count,
         }
     }
--- a/teaselworks_policy/src/upstream/mod.rs
+++ b/teaselworks_policy/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! Upstreams, the replicas of model engines and services: the list of them, their load and health.
 
+mod brittleness;
 mod concurrency;
 mod connecting;
 mod health;
@@ -15,6 +16,7 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
+pub use self::brittleness::{Brittleness, brittle_requests_per_slot};
 pub use self::concurrency::ConcurrencyLimit;
 pub use self::connecting::ConnectTimes;
 pub use self::health::{Health, RequestOutcome};
--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -9,9 +9,9 @@
 use crate::placement::{Detours, RetryAfterSchedule, hash_upstream_id, rendezvous_score};
 
 use super::{
-    ConcurrencyLimit, EjectionChange, Health, Incarnation, LinkChange, Load, LoadReport,
-    ObservationIndex, Reachability, RequestOutcome, ServiceLink, ServiceLoad, SharedFailures,
-    SharedLoad, SharedObservations, SlotShare, Upstream,
+    Brittleness, ConcurrencyLimit, EjectionChange, Health, Incarnation, LinkChange, Load,
+    LoadReport, ObservationIndex, Reachability, RequestOutcome, ServiceLink, ServiceLoad,
+    SharedFailures, SharedLoad, SharedObservations, SlotShare, Upstream,
 };
 
 /// Weight of the latest request in the exponential moving average of request times.
@@ -105,6 +105,7 @@
     concurrency_limit: ConcurrencyLimit,
     /// Limit that is derived from the load reports that routers share.
     slot_share: SlotShare,
+    brittleness: Brittleness,
     /// This router's link to the replicas.
     link: ServiceLink,
     /// Schedule of the retries of callers that were refused.
@@ -287,6 +288,29 @@
         member.resting_until = member.resting_until.max(now.checked_add(rest));
     }
 
+    /// Records that the replicas say they are brittle. Returns whether that was not known before.
+    pub fn on_brittle(&mut self, now: Duration, max_rejections: u32) -> bool {
+        self.brittleness.on_stated(now, max_rejections)
+    }
+
+    /// Returns whether the replicas are brittle.
+    pub fn is_brittle(&self, now: Duration) -> bool {
+        self.brittleness.is_brittle(now)
+    }
+
+    /// Records that a replica rejected a request, in a fleet of `routers` routers. Returns the time
+    /// for which it gets no other one from this router, if it is brittle.
+    pub fn on_rejected(
+        &mut self,
+        now: Duration,
+        incarnation: &Incarnation,
+        routers: u32,
+    ) -> Option<Duration> {
+        let backoff = self.brittleness.backoff(now, routers)?;
+        self.on_rest(now, incarnation, backoff);
+        Some(backoff)
+    }
+
     /// Returns the time after which the first of the replicas that rest takes requests again.
     pub fn shortest_rest(&self, now: Duration) -> Option<Duration> {
         let available = self.members.iter().filter(|member| member.takes_requests());
--- a/teaselworks_policy/src/upstream/slot_share.rs
+++ b/teaselworks_policy/src/upstream/slot_share.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use super::brittle_requests_per_slot;
+
 /// Share of the slots in use from which a service counts as nearly full. Late callers are then
 /// refused, the concurrency limit applies also to a service that reports its load, and the requests
 /// of a hot key whose first replicas are full queue there instead of spilling over.
@@ -38,6 +40,8 @@
     pub routers: f64,
     /// Whether this router knows the loads of most replicas only from other routers.
     pub has_shared_reports: bool,
+    /// Whether the replicas are brittle, so that requests should not wait there.
+    pub is_brittle: bool,
 }
 
 impl ServiceLoad {
@@ -86,6 +90,7 @@
     ///     slots: 100.0,
     ///     routers: 10.0,
     ///     has_shared_reports: true,
+    ///     is_brittle: false,
     /// };
     /// assert!(SlotShare::default().allows(&load));
     /// let surge = ServiceLoad { own_requests: 20.0, ..load };
@@ -101,7 +106,11 @@
     fn limit(&self, load: &ServiceLoad) -> f64 {
         let share = (self.mean_own + PRIOR_REQUESTS)
             / (self.mean_total + PRIOR_REQUESTS * load.routers).max(1.0);
-        let admitted_total = REQUESTS_PER_SLOT * load.slots;
+        let requests_per_slot = match load.is_brittle {
+            true => brittle_requests_per_slot(load.has_shared_reports),
+            false => REQUESTS_PER_SLOT,
+        };
+        let admitted_total = requests_per_slot * load.slots;
         let room = admitted_total - load.total_requests;
         (self.recent_own + room * share).max(admitted_total * share) + SPARE_REQUESTS
     }
--- a/teaselworks_policy/tests/slot_share.rs
+++ b/teaselworks_policy/tests/slot_share.rs
@@ -15,6 +15,7 @@
         slots: SLOTS,
         routers: f64::from(ROUTERS),
         has_shared_reports: true,
+        is_brittle: false,
     }
 }
 
