A connection outlives one unanswered keepalive probe

Ours were 2.5 s, with probes after 2 s and every 2 s: when the second probe was due, 4 s after the last byte, the connection was closed. One lost probe, or a replica silent for the second around the first, ended a request that waited there, and one that must not run twice got 502.

The first probe is now sent after 1 s and the next 1 s later, so that two fall within the user timeout; a dead peer is found after 3 s in place of 4.

--- a/teaselworks/src/net.rs
+++ b/teaselworks/src/net.rs
@@ -15,9 +15,12 @@
 /// Longest time for which sent bytes may stay unacknowledged before the connection is closed; it
 /// tolerates the loss of two packets in a row.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Idle time before the first keepalive probe of a connection, and the time between probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(2);
-/// Number of unanswered keepalive probes after which a connection is closed.
+/// Idle time before the first keepalive probe of a connection, and the time between probes. The
+/// user timeout ends a connection when a probe is due and an earlier one was not answered, so that
+/// two must fit into it.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of unanswered keepalive probes after which a connection is closed on systems where the
+/// user timeout does not apply to them.
 const MAX_UNANSWERED_PROBES: u32 = 2;
 /// Delay after a connection could not be accepted: file descriptors become free again when other
 /// connections close.
