Soak: routers cut off from all replicas, rest, brittle and leaving replicas

Each router of the soak has links of its own to the replicas. A round begins with nine seconds in which one or more routers, never all, are cut off (hanging, resetting, refusing new connections) beside reloads and new configurations; planned work and all faults follow, cuts among them. Replicas ask for rest, say that they are leaving while their entry is ready, or that they are brittle.

Checked: callers of cut routers are served at least two thirds as often as others from three seconds on; no more than two requests reach a replica from a router within the rest it asked that router for; none from a router that passed on that the replica leaves, beyond the draining bound. A simulated bug for each is reported. The soaks with simulated bugs begin with the phase that shows theirs.

--- a/teaselworks_standin/src/soak/checks.rs
+++ b/teaselworks_standin/src/soak/checks.rs
@@ -7,11 +7,12 @@
 use super::fleet::{
     DRAINING_BOUND, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, STOP_GRACE, event_count,
 };
+use super::link_checks::{check_cuts, check_leaving, check_rests};
 use super::record::{Arrival, Bug, FaultSpan, Observations, Outcome, Recorder, RequestRecord};
 use crate::configuration::{ARCHIVE_SERVICE, CHAT_SERVICE};
 
 /// Time after the end of a fault from which guarantees with a time bound hold again.
-const RECOVERY_TIME: Duration = Duration::from_secs(3);
+pub(super) const RECOVERY_TIME: Duration = Duration::from_secs(3);
 /// Time for which a response that was in progress may still follow an older configuration.
 const IN_PROGRESS_SLACK: Duration = Duration::from_millis(250);
 /// Time that a request may take to pass through the proxies.
@@ -48,6 +49,9 @@
     check_drains(&observations, &mut violations);
     check_retries(&observations, &mut violations);
     check_planned_stops(&observations, recorder.simulated_bug, &mut violations);
+    check_cuts(&observations, recorder.simulated_bug, &mut violations);
+    check_rests(&observations, recorder.simulated_bug, &mut violations);
+    check_leaving(&observations, recorder.simulated_bug, &mut violations);
     for (router, at) in &observations.unexpected_exits {
         let details = format!("the process of router-{router} was found to have exited at {at:?}");
         violations.push(Violation::new("no unexpected exit of a router", details));
@@ -152,7 +156,7 @@
 
 /// Returns whether no unplanned fault was active between two times, or ended less than
 /// [`RECOVERY_TIME`] before the first.
-fn is_undisturbed(observations: &Observations, from: Duration, to: Duration) -> bool {
+pub(super) fn is_undisturbed(observations: &Observations, from: Duration, to: Duration) -> bool {
     let overlaps =
         |span: &FaultSpan| span.from < to && span.to.is_none_or(|end| end + RECOVERY_TIME > from);
     !observations.fault_spans.iter().any(|span| !span.is_planned && overlaps(span))
--- a/teaselworks_standin/src/soak/faults.rs
+++ b/teaselworks_standin/src/soak/faults.rs
@@ -12,8 +12,9 @@
 use rand::RngExt;
 use rand_pcg::Pcg32;
 
-use super::fleet::{DRAINING_BOUND, REPLICA_COUNT, ReplicaMode, STOP_GRACE, SoakFleet};
-use super::record::{Bug, Recorder};
+use super::fleet::{DRAINING_BOUND, REPLICA_COUNT, REST, ReplicaMode, STOP_GRACE, SoakFleet};
+use super::record::{Bug, PartitionSpan, Recorder};
+use crate::links::Partition;
 use crate::proxy::{DirectionFaults, Proxy, ProxyFaults};
 use crate::store::Mode;
 
@@ -23,8 +24,13 @@
 const LOOP_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest pause between the starts of two faults.
 const MAX_FAULT_PAUSE_MS: u64 = 900;
-/// Length of a phase with planned operations only. It alternates with [`ALL_FAULTS_PHASE`].
-const PLANNED_ONLY_PHASE: Duration = Duration::from_secs(9);
+/// Length of a phase in which routers are cut off from all replicas and nothing else fails. It is
+/// followed by [`PLANNED_ONLY_PHASE`] and [`ALL_FAULTS_PHASE`], and then begins again.
+const CUTS_PHASE: Duration = Duration::from_secs(9);
+/// Length of a phase with planned operations only.
+const PLANNED_ONLY_PHASE: Duration = Duration::from_secs(12);
+/// Limit on the time for which routers are cut off from all replicas.
+const MAX_CUT_MS: u64 = 7_000;
 /// Length of a phase with every kind of fault.
 const ALL_FAULTS_PHASE: Duration = Duration::from_secs(12);
 /// Recorded duration of a stall: the time for which routers may still use stalled connections
@@ -33,6 +39,38 @@
 /// Limit on the time from the kill of a router to its restart.
 const MAX_DOWN_MS: u64 = 1_500;
 
+/// Part of a soak, by the faults that it may have.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    Cuts,
+    PlannedOnly,
+    AllFaults,
+}
+
+impl Phase {
+    /// Returns the phase at a time since the start of the soak.
+    fn at(elapsed: Duration) -> Self {
+        let round_ms = (PLANNED_ONLY_PHASE + CUTS_PHASE + ALL_FAULTS_PHASE).as_millis();
+        let in_round = Duration::from_millis((elapsed.as_millis() % round_ms) as u64);
+        if in_round < CUTS_PHASE {
+            Phase::Cuts
+        } else if in_round < CUTS_PHASE + PLANNED_ONLY_PHASE {
+            Phase::PlannedOnly
+        } else {
+            Phase::AllFaults
+        }
+    }
+}
+
+/// Returns the part of the first round that is skipped: a simulated bug other than that of the
+/// first phase is violated, and reported, in the phase after it.
+fn skipped_time(simulated_bug: Option<Bug>) -> Duration {
+    match simulated_bug {
+        None | Some(Bug::RefusalsByCutRouter) => Duration::ZERO,
+        Some(_) => CUTS_PHASE,
+    }
+}
+
 /// A connection path that leads through a proxy.
 #[derive(Clone, Copy, Debug)]
 enum Link {
@@ -52,8 +90,13 @@
     ReloadSettings(usize),
     /// Planned: publishes a new version of the configuration.
     PublishConfiguration,
-    /// Planned: adds a replica, lists another as draining, and removes that one later.
-    ReplaceReplica(usize),
+    /// Planned: adds a replica, lets another leave, and removes that one later. The boolean tells
+    /// whether the one that leaves is listed as draining, or says so with its responses only.
+    ReplaceReplica(usize, bool),
+    /// Planned: a replica rejects some requests and asks for rest.
+    RestReplica(usize),
+    /// Cuts some routers, the given number from the given index on, off from all replicas.
+    CutFromReplicas(usize, usize, Partition),
     /// Kills a router with SIGKILL and starts it again later.
     KillRouter(usize),
     /// Suspends a router with SIGSTOP and resumes it later with SIGCONT.
@@ -86,11 +129,28 @@
     /// Draws a planned operation.
     fn random_planned(fleet: &SoakFleet, random: &mut Pcg32) -> Self {
         let router = random.random_range(0..fleet.routers.len());
-        match random.random_range(0..4) {
+        match random.random_range(0..5) {
             0 => Fault::StopRouter(router),
             1 => Fault::ReloadSettings(router),
             2 => Fault::PublishConfiguration,
-            _ => Fault::ReplaceReplica(random.random_range(0..REPLICA_COUNT)),
+            3 => Fault::RestReplica(random.random_range(0..REPLICA_COUNT)),
+            _ => Fault::ReplaceReplica(random.random_range(0..REPLICA_COUNT), random.random()),
+        }
+    }
+
+    /// Draws a cut of at least one router, and not of all, from all replicas, or a change that
+    /// does not end a router.
+    fn random_cut(fleet: &SoakFleet, random: &mut Pcg32) -> Self {
+        let routers = fleet.routers.len();
+        let router = random.random_range(0..routers);
+        match random.random_range(0..8) {
+            0 => Fault::ReloadSettings(router),
+            1 => Fault::PublishConfiguration,
+            _ => {
+                let count = random.random_range(1..routers.max(2));
+                let partition = Partition::ALL[random.random_range(0..Partition::ALL.len())];
+                Fault::CutFromReplicas(router, count, partition)
+            }
         }
     }
 
@@ -100,7 +160,7 @@
         let replica = random.random_range(0..REPLICA_COUNT);
         let link = if random.random() { Link::Store(router) } else { Link::Replica(replica) };
         let mode = if random.random() { Mode::Unavailable } else { Mode::Silent };
-        match random.random_range(0..16) {
+        match random.random_range(0..17) {
             0..3 => Self::random_planned(fleet, random),
             3 => Fault::KillRouter(router),
             4 => Fault::SuspendRouter(router),
@@ -116,6 +176,7 @@
             12 => Fault::DelayLink(link, random.random_range(20..300)),
             13 => Fault::RefuseConnects(link),
             14 => Fault::CutConnections(link),
+            15 => Self::random_cut(fleet, random),
             _ => Fault::StallConnections(link),
         }
     }
@@ -126,7 +187,8 @@
             Fault::StopRouter(_)
                 | Fault::ReloadSettings(_)
                 | Fault::PublishConfiguration
-                | Fault::ReplaceReplica(_)
+                | Fault::ReplaceReplica(..)
+                | Fault::RestReplica(_)
         )
     }
 
@@ -138,12 +200,14 @@
             | Fault::ReloadSettings(router)
             | Fault::KillRouter(router)
             | Fault::SuspendRouter(router) => router_target(router),
-            Fault::ReplaceReplica(replica)
+            Fault::ReplaceReplica(replica, _)
+            | Fault::RestReplica(replica)
             | Fault::CorruptEntry(replica)
             | Fault::RestartReplica(replica)
             | Fault::DegradeReplica(replica, _) => format!("replica-{replica}"),
             Fault::PublishConfiguration | Fault::CompactStore => "operator".to_owned(),
             Fault::DisruptStore(_) => "store".to_owned(),
+            Fault::CutFromReplicas(..) => "links".to_owned(),
             Fault::FreezeLink(link, ..)
             | Fault::DelayLink(link, _)
             | Fault::RefuseConnects(link)
@@ -156,7 +220,11 @@
     fn duration(self, random: &mut Pcg32) -> Duration {
         match self {
             Fault::StopRouter(_) => STOP_GRACE,
-            Fault::ReplaceReplica(_) => DRAINING_BOUND + Duration::from_millis(1_500),
+            Fault::ReplaceReplica(..) => DRAINING_BOUND + Duration::from_millis(1_500),
+            Fault::RestReplica(_) => 2 * REST,
+            Fault::CutFromReplicas(..) => {
+                Duration::from_millis(random.random_range(5_000..MAX_CUT_MS))
+            }
             Fault::ReloadSettings(_)
             | Fault::PublishConfiguration
             | Fault::CompactStore
@@ -222,13 +290,10 @@
         }
         if elapsed >= next_at {
             next_at = elapsed + Duration::from_millis(random.random_range(50..MAX_FAULT_PAUSE_MS));
-            let is_planned_only = elapsed.as_secs_f64()
-                % (PLANNED_ONLY_PHASE + ALL_FAULTS_PHASE).as_secs_f64()
-                < PLANNED_ONLY_PHASE.as_secs_f64();
-            let fault = if is_planned_only {
-                Fault::random_planned(fleet, random)
-            } else {
-                Fault::random_any(fleet, random)
+            let fault = match Phase::at(elapsed + skipped_time(recorder.simulated_bug)) {
+                Phase::PlannedOnly => Fault::random_planned(fleet, random),
+                Phase::Cuts => Fault::random_cut(fleet, random),
+                Phase::AllFaults => Fault::random_any(fleet, random),
             };
             let until = now + fault.duration(random);
             let busy_targets: HashSet<String> =
@@ -238,6 +303,11 @@
                     if let Fault::StopRouter(router) = fault { Some(router) } else { None };
                 let span = recorder.begin_span(stopped_router, fault.is_planned());
                 begin(fleet, recorder, fault).await?;
+                if let Fault::CutFromReplicas(first, count, _) = fault {
+                    let routers = cut_routers(fleet, first, count);
+                    let partition = PartitionSpan { routers, from: now, to: until, span };
+                    recorder.observations().partitions.push(partition);
+                }
                 injected.push((elapsed, format!("{fault:?}")));
                 active_faults.push(ActiveFault { fault, until, span });
             }
@@ -275,8 +345,13 @@
 /// index.
 fn can_begin(fault: Fault, active_faults: &[ActiveFault]) -> bool {
     let is_replacing =
-        active_faults.iter().any(|active| matches!(active.fault, Fault::ReplaceReplica(_)));
-    !(is_replacing && matches!(fault, Fault::ReplaceReplica(_)))
+        active_faults.iter().any(|active| matches!(active.fault, Fault::ReplaceReplica(..)));
+    !(is_replacing && matches!(fault, Fault::ReplaceReplica(..)))
+}
+
+/// Returns the indexes of `count` routers from `first` on, in a circle.
+fn cut_routers(fleet: &SoakFleet, first: usize, count: usize) -> Vec<usize> {
+    (first..first + count).map(|router| router % fleet.routers.len()).collect()
 }
 
 fn proxy(fleet: &SoakFleet, link: Link) -> &Proxy {
@@ -298,7 +373,22 @@
         Fault::KillRouter(router) => fleet.routers[router].process.signal(Signal::SIGKILL)?,
         Fault::SuspendRouter(router) => fleet.routers[router].process.signal(Signal::SIGSTOP)?,
         Fault::PublishConfiguration => fleet.publish_next_version(),
-        Fault::ReplaceReplica(number) => {
+        Fault::RestReplica(replica) => {
+            fleet.replicas[replica].set_mode(ReplicaMode::AsksForRest);
+        }
+        Fault::CutFromReplicas(first, count, partition) => {
+            for router in cut_routers(fleet, first, count) {
+                fleet.routers[router].links.partition(partition);
+            }
+        }
+        Fault::ReplaceReplica(number, false) => {
+            fleet.add_replica(fleet.replicas[number].service)?;
+            let replica = &fleet.replicas[number];
+            replica.set_mode(ReplicaMode::IsLeaving);
+            let id = replica.upstream.id.clone();
+            recorder.observations().leaving_since.push((id, recorder.now()));
+        }
+        Fault::ReplaceReplica(number, true) => {
             let service = fleet.replicas[number].service;
             fleet.add_replica(service)?;
             let replica = &fleet.replicas[number];
@@ -348,7 +438,13 @@
             tokio::time::sleep(LOOP_INTERVAL).await;
         }
         Fault::SuspendRouter(router) => fleet.routers[router].process.signal(Signal::SIGCONT)?,
-        Fault::ReplaceReplica(number) => {
+        Fault::RestReplica(replica) => fleet.replicas[replica].set_mode(ReplicaMode::Healthy),
+        Fault::CutFromReplicas(first, count, _) => {
+            for router in cut_routers(fleet, first, count) {
+                fleet.routers[router].links.heal();
+            }
+        }
+        Fault::ReplaceReplica(number, _) => {
             // The new replica, the last of the list, takes the index of the removed one, so that
             // the indexes of all other replicas stay.
             let removed = fleet.replicas.swap_remove(number);
--- a/teaselworks_standin/src/soak/fleet.rs
+++ b/teaselworks_standin/src/soak/fleet.rs
@@ -12,6 +12,7 @@
 
 use super::record::{Bug, Recorder};
 use crate::configuration::{ARCHIVE_SERVICE, CHAT_SERVICE, TestConfiguration, upstream_entry};
+use crate::links::ReplicaLinks;
 use crate::proxy::{Proxy, ProxyFaults};
 use crate::router::{Program, Router};
 use crate::store::{Mode, Store};
@@ -34,6 +35,11 @@
 /// Time for which a router that was told to stop may finish its requests.
 pub(super) const STOP_GRACE: Duration = Duration::from_secs(8);
 
+/// Rest that a replica asks for in [`ReplicaMode::AsksForRest`].
+pub(super) const REST: Duration = Duration::from_secs(2);
+/// One request in this many is rejected by replicas that reject some.
+const REJECT_ONE_IN: u32 = 3;
+
 /// How a replica responds to requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) enum ReplicaMode {
@@ -50,16 +56,23 @@
     RespondsTwice,
     /// It resets connections in the middle of a response.
     TruncatesResponses,
+    /// It says that it is brittle and rejects one request in [`REJECT_ONE_IN`].
+    IsBrittle,
+    /// It rejects one request in [`REJECT_ONE_IN`] and asks for [`REST`].
+    AsksForRest,
+    /// It responds correctly and says that it is leaving.
+    IsLeaving,
 }
 
 impl ReplicaMode {
-    /// Every mode but [`ReplicaMode::Healthy`].
-    pub(super) const FAULTY: [ReplicaMode; 5] = [
+    /// Modes that count as unplanned faults.
+    pub(super) const FAULTY: [ReplicaMode; 6] = [
         ReplicaMode::ResetsConnections,
         ReplicaMode::NeverResponds,
         ReplicaMode::RejectsRequests,
         ReplicaMode::RespondsTwice,
         ReplicaMode::TruncatesResponses,
+        ReplicaMode::IsBrittle,
     ];
 }
 
@@ -79,7 +92,8 @@
         let upstream = Upstream::start(id, move |req| {
             let mode = *current.lock().expect("the lock of the mode is never poisoned");
             let script = response_script(req, service, mode, recorder.simulated_bug);
-            recorder.record_arrival(req.id(), &name, script.is_run);
+            let asks_for_rest = mode == ReplicaMode::AsksForRest && !script.is_run;
+            recorder.record_arrival(req.id(), &name, script.is_run, asks_for_rest);
             script
         })?;
         let proxy = Proxy::start(upstream.address())?;
@@ -103,6 +117,15 @@
     format!("a verse for {id}")
 }
 
+/// Header line of a replica in [`ReplicaMode::IsBrittle`].
+const BRITTLE_HEADER: &str = "server-brittle: 3";
+
+/// Returns whether a replica that rejects some requests rejects this one, which depends on its
+/// identifier alone.
+fn is_one_of_some(id: &str) -> bool {
+    event_count(id).is_multiple_of(REJECT_ONE_IN)
+}
+
 /// Returns one event of the stream that answers a request, as a chunk.
 fn event_chunk(id: &str, number: u32) -> Vec<u8> {
     chunk(&format!("id: {number}\ndata: {id}-{number}\n\n"))
@@ -122,6 +145,12 @@
     if mode == ReplicaMode::RejectsRequests || is_rejected {
         return Script::rejected(req);
     }
+    if mode == ReplicaMode::AsksForRest && is_one_of_some(id) {
+        return Script::asking_for_rest(req, REST.as_secs() as u32);
+    }
+    if mode == ReplicaMode::IsBrittle && is_one_of_some(id) {
+        return Script::rejected(req).with_header(BRITTLE_HEADER);
+    }
     let mut steps = Vec::new();
     if service == ARCHIVE_SERVICE {
         steps.push(Step::Pause(EVENT_INTERVAL));
@@ -139,7 +168,9 @@
         steps.push(Step::Write(b"0\r\n\r\n".to_vec()));
     }
     match mode {
-        ReplicaMode::Healthy | ReplicaMode::RejectsRequests => {}
+        ReplicaMode::Healthy | ReplicaMode::RejectsRequests | ReplicaMode::AsksForRest => {}
+        ReplicaMode::IsBrittle => return Script::new(steps).with_header(BRITTLE_HEADER),
+        ReplicaMode::IsLeaving => return Script::new(steps).with_header("server-leaving: 1"),
         ReplicaMode::ResetsConnections => steps = vec![Step::Pause(EVENT_INTERVAL), Step::Reset],
         ReplicaMode::NeverResponds => steps = vec![Step::Silence],
         ReplicaMode::RespondsTwice => steps.push(Step::Write(raw_response(id, 200, &body_for(id)))),
@@ -154,10 +185,11 @@
     Script::new(steps)
 }
 
-/// A router process and the proxy between it and the store.
+/// A router process, and the proxies between it and the store and the replicas.
 pub(super) struct SoakRouter {
     pub(super) process: Router,
     pub(super) store_proxy: Proxy,
+    pub(super) links: ReplicaLinks,
     /// How many times the process was started again.
     pub(super) restart_count: Arc<AtomicU64>,
 }
@@ -204,13 +236,22 @@
             "stop_grace_s": STOP_GRACE.as_secs(),
         });
         for number in 0..routers {
-            let store_proxy = Proxy::start(fleet.store.address())?;
+            let mut links = ReplicaLinks::start(&fleet.store)?;
+            for replica in &fleet.replicas {
+                links.add(replica.proxy.address())?;
+            }
+            let store_proxy = Proxy::start(links.store_address())?;
             let seeds: Vec<SocketAddr> =
                 fleet.routers.iter().map(|router| router.process.peers_address()).collect();
             let name = format!("router-{number}");
             let address = store_proxy.address();
             let process = Router::start(program.clone(), &name, address, &seeds, &bounds)?;
-            fleet.routers.push(SoakRouter { process, store_proxy, restart_count: Arc::default() });
+            fleet.routers.push(SoakRouter {
+                process,
+                store_proxy,
+                links,
+                restart_count: Arc::default(),
+            });
         }
         for router in &fleet.routers {
             router.process.wait_until_ready().await?;
@@ -233,6 +274,9 @@
         self.started_replicas += 1;
         let id = format!("{service}-{}", self.started_replicas);
         let replica = Replica::start(&id, service, &self.recorder)?;
+        for router in &mut self.routers {
+            router.links.add(replica.proxy.address())?;
+        }
         self.put_entry(&replica, "ready");
         self.replicas.push(replica);
         Ok(())
@@ -264,6 +308,7 @@
         for router in &mut self.routers {
             router.store_proxy.set_faults(|faults| *faults = ProxyFaults::default());
             router.store_proxy.cut();
+            router.links.heal();
             router.process.signal(Signal::SIGCONT)?;
         }
         for router in &self.routers {
--- a/teaselworks_standin/src/soak/mod.rs
+++ b/teaselworks_standin/src/soak/mod.rs
@@ -5,6 +5,7 @@
 mod checks;
 mod faults;
 mod fleet;
+mod link_checks;
 mod record;
 
 use std::error::Error;
--- a/teaselworks_standin/src/soak/record.rs
+++ b/teaselworks_standin/src/soak/record.rs
@@ -27,11 +27,17 @@
     CutByStop,
     /// A router process exits although no fault ended it.
     UnexpectedExit,
+    /// A router that reaches no replica refuses its callers.
+    RefusalsByCutRouter,
+    /// A replica that asked a router for rest gets its requests all the same.
+    RequestsInRest,
+    /// A replica gets requests from a router that knows it is leaving.
+    RequestsWhileLeaving,
 }
 
 impl Bug {
     /// Every bug that can be simulated.
-    pub const ALL: [Bug; 10] = [
+    pub const ALL: [Bug; 13] = [
         Bug::RunsTwice,
         Bug::RunsAfterRefusal,
         Bug::ForeignResponse,
@@ -42,6 +48,9 @@
         Bug::ExcessiveRetries,
         Bug::CutByStop,
         Bug::UnexpectedExit,
+        Bug::RefusalsByCutRouter,
+        Bug::RequestsInRest,
+        Bug::RequestsWhileLeaving,
     ];
 
     /// Returns the guarantee that it violates, as [`Violation::guarantee`] names it.
@@ -58,6 +67,9 @@
             Bug::ExcessiveRetries => "retry budget",
             Bug::CutByStop => "no request cut by a planned stop",
             Bug::UnexpectedExit => "no unexpected exit of a router",
+            Bug::RefusalsByCutRouter => "callers of cut routers are served",
+            Bug::RequestsInRest => "no requests to resting replicas",
+            Bug::RequestsWhileLeaving => "no requests to replicas known to leave",
         }
     }
 }
@@ -110,6 +122,8 @@
     pub(super) at: Duration,
     /// Whether the replica ran the request, instead of rejecting it.
     pub(super) has_run: bool,
+    /// Whether the replica rejected the request and asked for rest.
+    pub(super) asks_for_rest: bool,
 }
 
 /// How a request ended for its caller.
@@ -160,6 +174,16 @@
     pub(super) is_planned: bool,
 }
 
+/// Time during which some routers were cut off from all replicas.
+#[derive(Clone, Debug)]
+pub(super) struct PartitionSpan {
+    pub(super) routers: Vec<usize>,
+    pub(super) from: Duration,
+    pub(super) to: Duration,
+    /// Index of the fault's span in [`Observations::fault_spans`].
+    pub(super) span: usize,
+}
+
 /// Everything that was observed, in the order in which it was recorded.
 #[derive(Debug, Default)]
 pub(super) struct Observations {
@@ -169,6 +193,10 @@
     pub(super) fault_spans: Vec<FaultSpan>,
     /// Replicas that were listed as draining, and when the store took the entry.
     pub(super) draining_since: Vec<(String, Duration)>,
+    /// Replicas that say they are leaving, and since when.
+    pub(super) leaving_since: Vec<(String, Duration)>,
+    /// Times during which some routers were cut off from all replicas.
+    pub(super) partitions: Vec<PartitionSpan>,
     /// Routers whose process exited although no fault ended it, and when that was noticed.
     pub(super) unexpected_exits: Vec<(usize, Duration)>,
 }
@@ -204,9 +232,16 @@
     }
 
     /// Records a request that reached a replica.
-    pub(super) fn record_arrival(&self, id: &str, upstream: &str, has_run: bool) {
+    pub(super) fn record_arrival(
+        &self,
+        id: &str,
+        upstream: &str,
+        has_run: bool,
+        asks_for_rest: bool,
+    ) {
         let at = self.now();
-        let arrival = Arrival { id: id.to_owned(), upstream: upstream.to_owned(), at, has_run };
+        let (id, upstream) = (id.to_owned(), upstream.to_owned());
+        let arrival = Arrival { id, upstream, at, has_run, asks_for_rest };
         let copies = match self.simulated_bug {
             Some(Bug::RunsTwice) => 2,
             Some(Bug::ExcessiveRetries) => 8,
@@ -226,7 +261,7 @@
         if let (Some(Bug::RunsAfterRefusal), Outcome::Response { status: 503, .. }) =
             (self.simulated_bug, &request.outcome)
         {
-            self.record_arrival(&request.id, "simulated", true);
+            self.record_arrival(&request.id, "simulated", true, false);
         }
         self.observations().requests.push(request);
     }
--- a/teaselworks_standin/src/upstream.rs
+++ b/teaselworks_standin/src/upstream.rs
@@ -83,11 +83,13 @@
     ///
     /// # Panics
     ///
-    /// Panics if the first step does not write a head.
+    /// Panics if no step writes a head.
     pub fn with_header(mut self, line: &str) -> Self {
-        let Some(Step::Write(bytes)) = self.steps.first_mut() else {
-            panic!("the first step of the script does not write a head");
-        };
+        let first_write = self.steps.iter_mut().find_map(|step| match step {
+            Step::Write(bytes) => Some(bytes),
+            _ => None,
+        });
+        let bytes = first_write.expect("the script writes a head");
         let head_end = bytes.windows(2).position(|pair| pair == b"\r\n");
         let at = head_end.expect("the script writes a complete status line") + 2;
         bytes.splice(at..at, format!("{line}\r\n").into_bytes());
