Tests: what a router uses of a brittle service without load reports

Suspected: without reports a router takes each of its own requests for one at every other router, and might refuse most requests of a small brittle service.

--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -459,3 +459,33 @@
         assert_eq!(place(&pool).upstream.id, home.id);
     }
 }
+
+/// Returns how many requests of one of eight routers are placed at a brittle service of three
+/// replicas with six slots each that reports no load, if none of them ends.
+fn place_at_brittle_service() -> usize {
+    let settings = PlacementSettings { routers: 8, ..SETTINGS };
+    let mut pool = pool(3, 6);
+    pool.on_brittle(NOW, 8);
+    let mut placed = 0;
+    while let Ok(placement) = place(&pool, NOW, &request(None), &settings, &mut random()) {
+        pool.begin_request(NOW, &placement.upstream.incarnation());
+        placed += 1;
+    }
+    placed
+}
+
+/// Guards against refusals at a brittle service that has room, because a router that gets no load
+/// reports takes each of its own requests for one at every other router.
+#[test]
+fn a_router_uses_its_part_of_a_brittle_service_without_load_reports() {
+    let placed = place_at_brittle_service();
+    assert!(placed >= 3, "{placed} of 18 slots");
+}
+
+/// Guards against brittle replicas that fall over although no router has more than a few requests
+/// there: without load reports no router knows of the others' requests.
+#[test]
+fn routers_without_load_reports_do_not_overfill_a_brittle_service() {
+    let placed = place_at_brittle_service();
+    assert!(8 * placed <= 2 * 18, "eight routers with {placed} requests each for 18 slots");
+}
