No fault of a soak hides the bug that it simulates

Cause: traced to the list of faults. The replica that was listed as draining at 6.4 s had asked for rest until 5.5 s, so that no router sent it anything in the time that the falsified record calls late, and the check had nothing to report. The new fault, not the check, hid the bug.

Change: while a bug is simulated, no fault begins that could hide it (rest, or any fault on the router that is killed), the kill is repeated until an exit was noticed, and one probe in five is falsified. Soaks without a simulated bug draw and inject the same faults as before; every bug must still be reported, and no check or bound has changed.

--- a/teaselworks_standin/src/soak/callers.rs
+++ b/teaselworks_standin/src/soak/callers.rs
@@ -179,7 +179,7 @@
                 _ => continue,
             };
             let is_falsified = self.recorder.simulated_bug == Some(Bug::ConfigurationRollback)
-                && self.request_count.is_multiple_of(20);
+                && self.request_count.is_multiple_of(5);
             let is_known = is_known && !is_falsified;
             let ended_at = self.recorder.now();
             let probe =
--- a/teaselworks_standin/src/soak/faults.rs
+++ b/teaselworks_standin/src/soak/faults.rs
@@ -283,9 +283,11 @@
             return Ok(injected);
         }
         restart_exited_routers(fleet, recorder, &active_faults).await?;
-        // To simulate the bug, kills router 0 from the beginning of the third fault to that of the
-        // fourth.
-        if recorder.simulated_bug == Some(Bug::UnexpectedExit) && injected.len() == 3 {
+        // To simulate the bug, kills router 0 after the third fault until an exit was noticed.
+        if recorder.simulated_bug == Some(Bug::UnexpectedExit)
+            && injected.len() >= 3
+            && recorder.observations().unexpected_exits.is_empty()
+        {
             fleet.routers[0].process.signal(Signal::SIGKILL)?;
         }
         if elapsed >= next_at {
@@ -298,7 +300,9 @@
             let until = now + fault.duration(random);
             let busy_targets: HashSet<String> =
                 active_faults.iter().map(|active| active.fault.target()).collect();
-            if !busy_targets.contains(&fault.target()) && can_begin(fault, &active_faults) {
+            if !busy_targets.contains(&fault.target())
+                && can_begin(fault, &active_faults, recorder.simulated_bug)
+            {
                 let stopped_router =
                     if let Fault::StopRouter(router) = fault { Some(router) } else { None };
                 let span = recorder.begin_span(stopped_router, fault.is_planned());
@@ -343,7 +347,18 @@
 /// time: the end of a replacement moves the last replica in the list to the index of the removed
 /// one. With a single replacement, the last replica is the new one, and all others keep their
 /// index.
-fn can_begin(fault: Fault, active_faults: &[ActiveFault]) -> bool {
+///
+/// While a bug is simulated, no fault begins that could hide it: a replica that rests gets no
+/// requests, and an exit of a router on which a fault acts is expected.
+fn can_begin(fault: Fault, active_faults: &[ActiveFault], simulated_bug: Option<Bug>) -> bool {
+    let is_hiding = match simulated_bug {
+        None | Some(Bug::RequestsInRest) => false,
+        Some(Bug::UnexpectedExit) => fault.target() == router_target(0),
+        Some(_) => matches!(fault, Fault::RestReplica(_)),
+    };
+    if is_hiding {
+        return false;
+    }
     let is_replacing =
         active_faults.iter().any(|active| matches!(active.fault, Fault::ReplaceReplica(..)));
     !(is_replacing && matches!(fault, Fault::ReplaceReplica(..)))
