A hot key spills over in a full service beyond the load bound

Change: the least loaded of the first two takes the request only within 1.2 times the bound, as it does in a service with room; beyond, the request goes to any replica with room.

--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -197,9 +197,9 @@
 /// load reports, chooses among the ranked replicas by chance.
 ///
 /// If [`MAX_FULL_REPLICAS`] of them are full, the request queues at the least loaded of the first
-/// ones if its load is within [`QUEUE_BOUND_FACTOR`] times the bound, or if nearly all slots of the
-/// service are taken. Otherwise, the requests of a hot key spill over to all replicas that have
-/// room. If none has, the request goes to that least loaded replica.
+/// ones if its load is within [`QUEUE_BOUND_FACTOR`] times the bound. Otherwise, the requests of a
+/// hot key spill over to all replicas that have room. If none has, the request goes to that least
+/// loaded replica.
 fn choose_by_affinity<'a>(
     scan: &Scan<'a>,
     now: Duration,
@@ -227,7 +227,7 @@
     }
     let load = |member: &Member| member.load.estimate(now, scan.average_load());
     let least = choose_least_cost(scan.ranked().take(MAX_FULL_REPLICAS), bound, load);
-    let may_queue = scan.is_nearly_full() || least.load + 1.0 <= bound * QUEUE_BOUND_FACTOR;
+    let may_queue = least.load + 1.0 <= bound * QUEUE_BOUND_FACTOR;
     if matches!(search, OrderSearch::Full) && may_queue {
         return least;
     }
--- a/teaselworks_policy/src/upstream/slot_share.rs
+++ b/teaselworks_policy/src/upstream/slot_share.rs
@@ -10,8 +10,7 @@
 use super::brittle_requests_per_slot;
 
 /// Share of the slots in use from which a service counts as nearly full. Late callers are then
-/// refused, the concurrency limit applies also to a service that reports its load, and the requests
-/// of a hot key whose first replicas are full queue there instead of spilling over.
+/// refused, and the concurrency limit applies also to a service that reports its load.
 const NEARLY_FULL_SHARE: f64 = 0.9;
 /// Requests per slot, over all routers together, up to which requests are admitted. It is above 1
 /// so that a request waits for the next free slot rather than a slot for the next request.
