--- a/teaselworks/src/daemon/serve.rs
+++ b/teaselworks/src/daemon/serve.rs
@@ -56,7 +56,7 @@
         event::text("build", &env!("CARGO_PKG_VERSION")),
     ]);
     let grace = settings.bounds.stop_grace();
-    let in_progress = start_services(&registry, &settings, ports, &shutdown)?;
+    let in_progress = start_services(&registry, &settings, ports)?;
     let reload_task = reload::run(path, settings, shared.clone(), reload_signal);
     tokio::select! {
         signalled = stop::wait_for_signal() => signalled?,
@@ -89,7 +89,6 @@
     registry: &ServiceRegistry,
     settings: &Settings,
     ports: Ports,
-    shutdown: &Shutdown,
 ) -> Result<impl Fn() -> usize + use<>, StartError> {
     let shared = registry.find(&SHARED)?;
     let metrics = registry.find(&METRICS)?;
@@ -106,7 +105,7 @@
     let peers = settings.listen.peers.unwrap_or(settings.listen.callers);
     let shortest_lease = Duration::from_millis(settings.platform.shortest_lease_ms);
     let name = &settings.router.name;
-    tokio::spawn(Registrar::new(new_store(), name, peers, shortest_lease, shutdown.clone()).run());
+    tokio::spawn(Registrar::new(new_store(), name, peers, shortest_lease, shared.clone()).run());
     let port = CallerPort::new(shared.clone(), settings.limits.file_descriptors);
     let connections = port.connections();
     if let Some(listener) = ports.peers {
--- a/teaselworks/src/daemon/services.rs
+++ b/teaselworks/src/daemon/services.rs
@@ -7,6 +7,7 @@
 use teaselworks_policy::fleet::{Fleet, FleetSettings};
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::retry::BudgetSettings;
+use teaselworks_policy::upstream::ColdSettings;
 
 use crate::discovery::{StateUpdater, StoreCache};
 use crate::kernel::{ServiceError, ServiceName, ServiceRegistry, Shutdown};
@@ -54,6 +55,7 @@
 pub(super) fn fleet_settings(bounds: &BoundSettings) -> FleetSettings {
     FleetSettings {
         load_factor: bounds.load_factor,
+        cold: ColdSettings { overshoot: bounds.cold_overshoot, slack: bounds.cold_slack },
         budget: BudgetSettings {
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
--- a/teaselworks/src/discovery/registrar.rs
+++ b/teaselworks/src/discovery/registrar.rs
@@ -2,11 +2,13 @@
 //! query it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::event;
-use crate::kernel::{Shutdown, ShutdownPhase};
+use crate::kernel::ShutdownPhase;
 use crate::platform::{Lease, Store, StoreError, registration_key, registration_value};
+use crate::relay::Shared;
 
 /// Minimum time after which the registration of a router that was killed expires. Until then the
 /// other routers still count it, which makes their shares of the retry budget smaller, and may
@@ -26,7 +28,7 @@
     /// Lease time to request: [`MIN_LEASE_TTL`], or the shortest lease that the store grants if
     /// that is longer.
     lease_ttl: Duration,
-    shutdown: Shutdown,
+    shared: Arc<Shared>,
 }
 
 impl Registrar {
@@ -37,16 +39,16 @@
         name: &str,
         peers_address: SocketAddr,
         shortest_lease: Duration,
-        shutdown: Shutdown,
+        shared: Arc<Shared>,
     ) -> Self {
         let lease_ttl = MIN_LEASE_TTL.max(shortest_lease);
-        Self { store, key: registration_key(name), peers_address, lease_ttl, shutdown }
+        Self { store, key: registration_key(name), peers_address, lease_ttl, shared }
     }
 
     /// Keeps the router registered until a planned stop begins, and then ends the registration.
     pub async fn run(mut self) {
         let mut lease = None;
-        while self.shutdown.phase() == ShutdownPhase::Running {
+        while self.shared.shutdown.phase() == ShutdownPhase::Running {
             let pause = match self.renew_or_register(&mut lease).await {
                 Ok(()) => self.lease_ttl / RENEWALS_PER_LEASE,
                 Err(error) => {
@@ -57,7 +59,7 @@
             };
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
-                () = self.shutdown.reached(ShutdownPhase::Announced) => {}
+                () = self.shared.shutdown.reached(ShutdownPhase::Announced) => {}
             }
         }
         if let Some(lease) = lease {
@@ -71,8 +73,10 @@
     /// If the new lease ends before the registration is written, returns `Ok` although the router
     /// is not registered; the next call requests another lease.
     async fn renew_or_register(&mut self, lease: &mut Option<Lease>) -> Result<(), StoreError> {
+        let sent_at = self.shared.now();
         if let Some(current) = *lease {
             if self.store.renew_lease(current).await? {
+                self.shared.fleet().membership.on_registered(sent_at, current.ttl);
                 return Ok(());
             }
             *lease = None;
@@ -81,6 +85,7 @@
         let value = registration_value(self.peers_address);
         if self.store.put(&self.key, &value, new_lease).await? {
             *lease = Some(new_lease);
+            self.shared.fleet().membership.on_registered(sent_at, new_lease.ttl);
             event::REGISTERED.log(&[
                 event::text("key", &self.key),
                 event::number("lease_ms", new_lease.ttl.as_millis() as u64),
--- a/teaselworks/src/discovery/updater.rs
+++ b/teaselworks/src/discovery/updater.rs
@@ -270,7 +270,7 @@
 
     fn apply_upstream_changes(&self, changes: &[Change], revision: u64, source: Source) {
         for change in changes {
-            self.shared.fleet().apply(change);
+            self.shared.fleet().apply(self.shared.now(), change);
             let (event, id) = match change {
                 Change::Serving(upstream) => (event::UPSTREAM_SERVING, &upstream.id),
                 Change::Restarted(upstream) => (event::UPSTREAM_RESTARTED, &upstream.id),
--- a/teaselworks/src/metrics.rs
+++ b/teaselworks/src/metrics.rs
@@ -48,6 +48,7 @@
     connections: Counter<u64>,
     connect_failures: Counter<u64>,
     detours: Counter<u64>,
+    cold_homes: Counter<u64>,
     in_progress: UpDownCounter<i64>,
     evacuated_zones: UpDownCounter<i64>,
     first_byte: Histogram<f64>,
@@ -103,6 +104,11 @@
                 "teaselworks_detours",
                 "Requests sent to another router to be forwarded.",
             ),
+            cold_homes: counter(
+                &meter,
+                "teaselworks_cold_homes",
+                "Requests placed elsewhere since the first replica of their prompt is cold.",
+            ),
             in_progress: meter
                 .i64_up_down_counter("teaselworks_in_progress")
                 .with_description("Requests in progress.")
@@ -128,6 +134,11 @@
         metrics
     }
 
+    /// Counts a request that was placed elsewhere since the first replica of its prompt is cold.
+    pub fn add_cold_home(&self) {
+        self.cold_homes.add(1, &[]);
+    }
+
     /// Adds to the number of evacuated zones.
     pub fn add_evacuated_zones(&self, change: i64) {
         self.evacuated_zones.add(change, &[]);
@@ -147,6 +158,7 @@
         }
         for counter in [
             &self.broken_answers,
+            &self.cold_homes,
             &self.callers_left,
             &self.ejections,
             &self.connections,
--- a/teaselworks/src/platform/configuration.rs
+++ b/teaselworks/src/platform/configuration.rs
@@ -74,6 +74,9 @@
 #[derive(Deserialize)]
 struct WireService {
     name: Arc<str>,
+    /// Requests per second that a cold replica bears; zero if it bears as many as any other.
+    #[serde(default)]
+    cold_per_s: f64,
     engine: Option<WireEngine>,
 }
 
@@ -167,7 +170,10 @@
 
 impl From<WireService> for Service {
     fn from(wire: WireService) -> Self {
-        Self { has_kv_transfer: wire.engine.is_some_and(|engine| engine.moves) }
+        Self {
+            has_kv_transfer: wire.engine.is_some_and(|engine| engine.moves),
+            cold_requests_per_s: Some(wire.cold_per_s).filter(|rate| *rate > 0.0),
+        }
     }
 }
 
--- a/teaselworks/src/platform/upstream.rs
+++ b/teaselworks/src/platform/upstream.rs
@@ -22,8 +22,8 @@
     #[serde(deserialize_with = "wire::saturating_u32")]
     slots: u32,
     state: State,
-    #[serde(rename = "cold_remaining_ms", deserialize_with = "wire::duration_ms")]
-    _cold_remaining: Duration,
+    #[serde(deserialize_with = "wire::duration_ms")]
+    cold_remaining_ms: Duration,
     #[serde(rename = "sequence", deserialize_with = "wire::saturating_u64")]
     _sequence: u64,
     /// Start of the process in milliseconds since the Unix epoch; replicas of earlier versions omit
@@ -53,6 +53,7 @@
         zone: wire.zone,
         slots: wire.slots,
         is_draining: wire.state == State::Draining,
+        cold_remaining: wire.cold_remaining_ms,
         started: wire.born.map(|ms| SystemTime::UNIX_EPOCH + Duration::from_millis(ms)),
     })
 }
--- a/teaselworks/src/relay/request_state.rs
+++ b/teaselworks/src/relay/request_state.rs
@@ -96,6 +96,9 @@
             has_started: resumed_after.is_some() || self.runs > 0,
         };
         let mut placement = self.shared.fleet().place(now, &self.prepared.service, &request)?;
+        if placement.is_home_cold {
+            self.shared.metrics.add_cold_home();
+        }
         placement.holder = placement.holder.filter(|_| self.has_kv_transfer());
         let report_age = placement.report_age.map_or(-1, |age| age.as_millis() as i64);
         event::REQUEST_PLACED.log(&[
@@ -110,6 +113,7 @@
                 "holder",
                 &placement.holder.map(|address| address.to_string()).as_deref().unwrap_or(""),
             ),
+            event::text("is_home_cold", &placement.is_home_cold),
             event::number("attempt", u64::from(self.attempts()) + 1),
             event::text("is_late", &self.prepared.is_late),
             event::number("configuration", self.configuration.version),
--- a/teaselworks/src/settings/check.rs
+++ b/teaselworks/src/settings/check.rs
@@ -64,8 +64,13 @@
             faults.push(UnlocatedFault::new(path.child_key(field), "is not above zero"));
         }
     }
-    for (field, value) in [("retry_ratio", bounds.retry_ratio), ("retry_slack", bounds.retry_slack)]
-    {
+    let not_negative = [
+        ("retry_ratio", bounds.retry_ratio),
+        ("retry_slack", bounds.retry_slack),
+        ("cold_overshoot", bounds.cold_overshoot),
+        ("cold_slack", bounds.cold_slack),
+    ];
+    for (field, value) in not_negative {
         if !(value >= 0.0 && value.is_finite()) {
             faults.push(UnlocatedFault::new(path.child_key(field), "is below zero"));
         }
--- a/teaselworks/src/settings/mod.rs
+++ b/teaselworks/src/settings/mod.rs
@@ -109,6 +109,11 @@
     pub draining_ms: u64,
     /// Time from the evacuation of a zone until no router sends requests there, in milliseconds.
     pub evacuation_ms: u64,
+    /// Factor by which the requests of all routers to a cold replica may exceed the rate that it
+    /// bears.
+    pub cold_overshoot: f64,
+    /// Number of requests by which they may exceed that rate besides, within any second.
+    pub cold_slack: f64,
     /// Retries allowed per request, summed over all routers.
     pub retry_ratio: f64,
     /// Additional retries allowed per window, summed over all routers.
@@ -127,6 +132,8 @@
             configuration_ms: 2_000,
             draining_ms: 2_000,
             evacuation_ms: 5_000,
+            cold_overshoot: 1.0,
+            cold_slack: 0.0,
             retry_ratio: 0.2,
             retry_slack: 10.0,
             retry_window_s: 10.0,
--- a/teaselworks_model/src/lib.rs
+++ b/teaselworks_model/src/lib.rs
@@ -13,7 +13,8 @@
 mod run;
 
 pub use self::load::{
-    EngineSettings, HotPart, Load, LoadError, Outage, PlacementMode, RequestKind, Surge,
+    ColdRestart, EngineSettings, HotPart, Load, LoadError, Outage, PlacementMode, RequestKind,
+    Surge,
 };
 pub use self::result::{EngineTotals, Outcome, RequestCounts};
 pub use self::run::run;
--- a/teaselworks_model/src/load.rs
+++ b/teaselworks_model/src/load.rs
@@ -37,6 +37,8 @@
     pub outages: Vec<Outage>,
     /// Period in which the engines are brittle.
     pub brittle: Option<Brittle>,
+    /// Restart of some engines, which are cold then.
+    pub cold: Option<ColdRestart>,
     /// Periods in which many requests have the same shared prompt part.
     #[serde(default, rename = "hot")]
     pub hot_parts: Vec<HotPart>,
@@ -167,6 +169,47 @@
     }
 }
 
+/// A restart of some engines, which lose their requests and caches and are cold then: one that gets
+/// too many requests within a second falls over.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdRestart {
+    /// Time of the restart.
+    pub at_s: f64,
+    /// Length of the time for which the engines are cold.
+    pub for_s: f64,
+    /// Fraction of the engines that restart, from 0 to 1.
+    pub share: f64,
+    /// Longest time until a router knows the new entries; each knows them after a random time.
+    pub notice_s: f64,
+    /// Requests per second that a cold engine bears.
+    pub requests_per_s: f64,
+    /// Factor by which requests may exceed that rate before the engine falls over.
+    pub overshoot: f64,
+    /// Number of requests within a second by which they may exceed it besides.
+    pub slack: f64,
+    /// Time for which an engine that fell over is down.
+    pub down_s: f64,
+}
+
+impl ColdRestart {
+    /// Returns whether an engine restarts; the engines with the lowest numbers do.
+    pub(crate) fn affects(&self, engine: usize, engines: u32) -> bool {
+        (engine as f64) < self.share * f64::from(engines)
+    }
+
+    /// Returns whether the engines that restarted are cold.
+    pub(crate) fn is_in_effect(&self, now: Duration) -> bool {
+        is_within(now.as_secs_f64(), self.at_s, self.for_s)
+    }
+
+    /// Returns the largest number of requests within a second that a cold engine bears.
+    pub(crate) fn max_requests(&self) -> usize {
+        // Casting a float to an integer truncates.
+        (self.requests_per_s * self.overshoot + self.slack) as usize
+    }
+}
+
 /// A period in which many requests of a kind have the same shared prompt part.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/teaselworks_model/src/result.rs
+++ b/teaselworks_model/src/result.rs
@@ -53,8 +53,12 @@
     /// Two is the `load_factor` of the simulated routers. They place requests by a lower bound,
     /// because they use only a part of the load above the mean that `load_factor` allows.
     pub beyond_bound: u64,
-    /// Number of times that brittle engines fell over.
+    /// Number of times that brittle or cold engines fell over.
     pub falls: u64,
+    /// Number of requests that reached cold engines.
+    pub cold_arrivals: u64,
+    /// Largest number of requests that reached a cold engine within a second.
+    pub cold_peak: u64,
     /// Tokens of the shared prompt parts of requests that an engine accepted.
     pub shared_tokens: u64,
     /// Load of the busiest engine in percent of the mean load, summed over the requests that
--- a/teaselworks_model/src/router.rs
+++ b/teaselworks_model/src/router.rs
@@ -1,7 +1,7 @@
 //! Model of the routers: their decisions, made through the calls that a real router makes.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use teaselworks_policy::configuration::{self, Configuration, Route, Routes, Service, Target};
 use teaselworks_policy::deadline::Deadline;
@@ -9,7 +9,7 @@
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::placement::{Placement, PlacementRequest, Prompt, PromptPart};
 use teaselworks_policy::retry::BudgetSettings;
-use teaselworks_policy::upstream::{Change, Upstream};
+use teaselworks_policy::upstream::{Change, ColdSettings, Upstream};
 use teaselworks_policy::verdict::Refusal;
 
 use crate::caller::{Request, duration_from_ms};
@@ -17,6 +17,8 @@
 
 /// Name of the service that all engines belong to.
 pub(crate) const SERVICE: &str = "engines";
+/// Start time that engines report after a restart.
+const RESTARTED: SystemTime = SystemTime::UNIX_EPOCH;
 /// Availability zone of all routers and engines.
 const ZONE: &str = "a";
 
@@ -29,11 +31,16 @@
         membership.put(format!("router-{other}").into(), ([127, 0, 0, 1], 80).into());
     }
     let budget = BudgetSettings { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
-    let settings = FleetSettings { load_factor: 2.0, budget };
+    let cold = load.cold.map_or(ColdSettings { overshoot: 1.0, slack: 0.0 }, |cold| ColdSettings {
+        overshoot: cold.overshoot,
+        slack: cold.slack,
+    });
+    let settings = FleetSettings { load_factor: 2.0, cold, budget };
+    membership.on_registered(Duration::ZERO, Duration::MAX);
     let mut fleet = Fleet::new(settings, membership, seed + u64::from(number));
     fleet.set_configuration(configuration(load));
     for engine in 0..load.engines.count {
-        fleet.apply(&Change::Serving(upstream_for_engine(load, engine)));
+        fleet.apply(Duration::ZERO, &Change::Serving(upstream_for_engine(load, engine)));
     }
     fleet
 }
@@ -56,10 +63,26 @@
     let routes = (0..load.kinds.len()).map(|kind| route_for_kind(load, kind));
     let mut configuration =
         Configuration { version: 1, routes: Routes::new(routes), ..Configuration::default() };
-    configuration.services.insert(SERVICE.into(), Service { has_kv_transfer: true });
+    let cold_requests_per_s = load.cold.map(|cold| cold.requests_per_s);
+    let service = Service { has_kv_transfer: true, cold_requests_per_s };
+    configuration.services.insert(SERVICE.into(), service);
     configuration
 }
 
+/// Tells a router that an engine has restarted and is cold for the time `cold_remaining`.
+pub(crate) fn announce_restart(
+    fleet: &mut Fleet,
+    load: &Load,
+    now: Duration,
+    engine: usize,
+    cold_remaining: Duration,
+) {
+    let started = Some(RESTARTED);
+    let engine = u32::try_from(engine).unwrap_or(u32::MAX);
+    let upstream = Upstream { started, cold_remaining, ..upstream_for_engine(load, engine) };
+    fleet.apply(now, &Change::Restarted(upstream));
+}
+
 /// Returns the upstream that stands for an engine; [`engine_index`] maps its address back.
 fn upstream_for_engine(load: &Load, engine: u32) -> Upstream {
     let port = 10_000 + u16::try_from(engine).unwrap_or(u16::MAX - 10_000);
--- a/teaselworks_model/src/run.rs
+++ b/teaselworks_model/src/run.rs
@@ -1,5 +1,7 @@
 //! The simulation: moves requests between callers, routers and engines in ticks of fixed length.
 
+mod cold;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +13,7 @@
 use teaselworks_policy::placement::Placement;
 use teaselworks_policy::upstream::{Incarnation, RequestOutcome};
 
+use self::cold::ColdArrivals;
 use crate::caller::{Request, arrivals, duration_from_ms};
 use crate::engine::{Engine, Job, Progress};
 use crate::load::Load;
@@ -61,6 +64,8 @@
     ReachEngine(usize),
     /// The router's attempt to connect to an engine that is down has timed out.
     ConnectTimeout(usize),
+    /// The router with this index learns that engines have restarted.
+    LearnRestarts(usize),
 }
 
 /// State of a simulation. Routers, engines and requests are referred to by their index.
@@ -78,6 +83,8 @@
     is_down: Vec<bool>,
     /// Times of the rejections of each engine within the last second.
     rejected_at: Vec<Vec<Duration>>,
+    /// Requests that reached each engine while it was cold.
+    cold_arrivals: Vec<ColdArrivals>,
     /// Time until which each engine is down because it fell over.
     fallen_until: Vec<Duration>,
     /// Route of each kind of requests.
@@ -88,6 +95,8 @@
     in_flight: HashMap<usize, Attempt>,
     /// Scheduled events, by the time at which they happen.
     events: BTreeMap<Duration, Vec<Event>>,
+    /// Whether the engines of [`Load::cold`] have restarted.
+    has_cold_engines: bool,
     /// Time of the last exchange of observations between the routers.
     exchanged_at: Duration,
     outcome: Outcome,
@@ -112,11 +121,13 @@
             engines,
             is_down: vec![false; load.engines.count as usize],
             rejected_at: vec![Vec::new(); load.engines.count as usize],
+            cold_arrivals: vec![ColdArrivals::default(); load.engines.count as usize],
             fallen_until: vec![Duration::ZERO; load.engines.count as usize],
             routes: (0..load.kinds.len()).map(|kind| router::route_for_kind(load, kind)).collect(),
             requests: Vec::new(),
             in_flight: HashMap::new(),
             events: BTreeMap::new(),
+            has_cold_engines: false,
             exchanged_at: Duration::ZERO,
             outcome: Outcome::default(),
         }
@@ -130,6 +141,7 @@
                 self.add_arrivals();
             }
             self.update_outages();
+            self.begin_cold_restart();
             self.exchange_observations();
             while self.events.first_key_value().is_some_and(|(at, _)| *at <= self.now) {
                 let (_, events) = self.events.pop_first().unwrap_or_default();
@@ -206,6 +218,7 @@
                 let Some(ended) = self.end(request, Some(RequestOutcome::NoAnswer)) else { return };
                 self.place(request, ended.router, ended.tried, ended.is_late);
             }
+            Event::LearnRestarts(router) => self.on_learn_restarts(router),
         }
     }
 
@@ -272,11 +285,18 @@
     /// Adds a request to the queue of its engine; a full queue counts as a refusal.
     fn on_reach_engine(&mut self, request: usize) {
         let Some(attempt) = self.in_flight.get(&request) else { return };
+        if self.is_misdirected(attempt) {
+            let Some(ended) = self.end(request, Some(RequestOutcome::NoAnswer)) else { return };
+            return self.place(request, ended.router, ended.tried, ended.is_late);
+        }
         let (engine, router) = (attempt.engine, attempt.router);
         let Request { kind, key, answer_tokens, .. } = self.requests[request];
         let is_cached_elsewhere = attempt
             .holder
             .is_some_and(|holder| !self.is_down[holder] && self.engines[holder].has_cached(key));
+        if self.overloads_cold_engine(engine) {
+            return;
+        }
         self.record_imbalance(engine);
         let kind = &self.load.kinds[kind];
         let job = Job {
--- a/teaselworks_policy/src/configuration/mod.rs
+++ b/teaselworks_policy/src/configuration/mod.rs
@@ -28,11 +28,14 @@
 }
 
 /// Properties of a service, which is a group of replicas that answer the same requests.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Service {
     /// Its replicas are model engines that can transfer the key-value cache of prompt parts to each
     /// other.
     pub has_kv_transfer: bool,
+    /// Number of requests per second that a cold replica bears; `None` if it bears as many as any
+    /// other.
+    pub cold_requests_per_s: Option<f64>,
 }
 
 /// Limits on the size of requests and on the time that callers may take to send them.
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -20,8 +20,9 @@
 use crate::retry::{BudgetSettings, RetryBudget};
 use crate::stop::{Arrival, StopPlan};
 use crate::upstream::{
-    Change, ConnectTimes, EjectionChange, EvacuatedZones, EvacuationChange, Incarnation,
-    LinkChange, LoadReport, ObservationIndex, Pool, RequestOutcome, SharedObservations, Upstream,
+    Change, ColdBound, ColdSettings, ConnectTimes, EjectionChange, EvacuatedZones,
+    EvacuationChange, Incarnation, LinkChange, LoadReport, ObservationIndex, Pool, RequestOutcome,
+    SharedObservations, Upstream,
 };
 use crate::verdict::{Refusal, RefusalReason};
 
@@ -34,6 +35,8 @@
     /// Bound on the load of a replica, as a multiple of the mean load of its service. Placement
     /// uses only part of what this allows above the mean, and adds a few requests to it.
     pub load_factor: f64,
+    /// How far the requests of all routers to a cold replica may exceed the rate that it bears.
+    pub cold: ColdSettings,
     /// Retry budget of all routers together; each router uses its share of it.
     pub budget: BudgetSettings,
 }
@@ -77,6 +80,7 @@
     pub fn set_settings(&mut self, settings: FleetSettings) {
         self.settings = settings;
         self.budget.set_settings(settings.budget);
+        self.update_service_properties();
     }
 
     /// Returns the active configuration, if one is known.
@@ -95,18 +99,27 @@
         }
         self.durations.retain(&configuration.routes);
         self.deadlines.retain(&configuration.routes);
+        self.configuration = Some(Arc::new(configuration));
+        self.update_service_properties();
+        true
+    }
+
+    /// Sets the properties of each pool that follow from the active configuration and the settings.
+    fn update_service_properties(&mut self) {
+        let Some(configuration) = &self.configuration else { return };
         for (service, pool) in &mut self.pools {
             pool.set_target_latency(configuration.routes.shortest_target_latency(service));
+            pool.set_cold_bound(cold_bound(configuration, service, &self.settings));
         }
-        self.configuration = Some(Arc::new(configuration));
-        true
     }
 
     /// Applies a change in the list of upstreams to the pools. A replica whose entry is missing
     /// stays in use until it is gone, and an entry of an earlier start of a replica is ignored.
-    pub fn apply(&mut self, change: &Change) {
+    pub fn apply(&mut self, now: Duration, change: &Change) {
         match change {
-            Change::Serving(upstream) | Change::Restarted(upstream) => self.put_replica(upstream),
+            Change::Serving(upstream) | Change::Restarted(upstream) => {
+                self.put_replica(now, upstream);
+            }
             Change::Suspended(id) => self.pools.values_mut().for_each(|pool| pool.suspend(id)),
             Change::Draining(id) => self.pools.values_mut().for_each(|pool| pool.set_draining(id)),
             Change::Missing(_) | Change::Stale(_) => {}
@@ -116,18 +129,20 @@
 
     /// Adds or updates a replica in the pool of its service, and removes it from other pools in
     /// case its service has changed.
-    fn put_replica(&mut self, upstream: &Upstream) {
+    fn put_replica(&mut self, now: Duration, upstream: &Upstream) {
         for (service, pool) in &mut self.pools {
             if *service != upstream.service {
                 pool.remove(&upstream.id);
             }
         }
         let service = &upstream.service;
-        let routes = self.configuration.as_ref().map(|configuration| &configuration.routes);
-        let target_latency = routes.and_then(|routes| routes.shortest_target_latency(service));
         let pool = self.pools.entry(service.clone()).or_default();
-        pool.set_target_latency(target_latency);
+        if let Some(configuration) = &self.configuration {
+            pool.set_target_latency(configuration.routes.shortest_target_latency(service));
+            pool.set_cold_bound(cold_bound(configuration, service, &self.settings));
+        }
         pool.put(upstream.clone());
+        pool.set_cold_remaining(now, &upstream.id, upstream.cold_remaining);
         pool.set_evacuated_zones(&self.evacuated_zones);
     }
 
@@ -234,6 +249,7 @@
         let Some(pool) = self.pools.get_mut(service) else {
             return Err(Refusal::not_run(RefusalReason::NoReplica, Some(NO_POOL_RETRY_AFTER)));
         };
+        pool.update_cold_shares(now, &self.membership);
         match place(pool, now, request, &settings, &mut self.random) {
             Ok(placement) => {
                 pool.on_placed(now, &placement.service_load);
@@ -245,7 +261,12 @@
                     pool.schedule.next_retry_after(now, request.max_retry_after, &mut self.random);
                 Err(Refusal { retry_after: Some(retry_after), ..refusal })
             }
-            Err(refusal) => Err(refusal),
+            Err(refusal) => {
+                if refusal.reason == RefusalReason::Cold {
+                    pool.schedule.on_refused(now);
+                }
+                Err(refusal)
+            }
         }
     }
 
@@ -426,3 +447,13 @@
         }
     }
 }
+
+/// Returns the bound on the requests to a cold replica of a service.
+fn cold_bound(
+    configuration: &Configuration,
+    service: &str,
+    settings: &FleetSettings,
+) -> Option<ColdBound> {
+    let requests_per_s = configuration.services.get(service)?.cold_requests_per_s?;
+    Some(ColdBound::new(requests_per_s, &settings.cold))
+}
--- a/teaselworks_policy/src/membership.rs
+++ b/teaselworks_policy/src/membership.rs
@@ -37,6 +37,34 @@
 /// store gets.
 const STORE_RETRY_PAUSE_PER_ROUTER: Duration = Duration::from_millis(25);
 
+/// Number of routers that may send requests to one cold replica. With this many, some still can
+/// while others are killed or cut off.
+const COLD_SUBSET: usize = 10;
+/// Time after a router's first registration from which it counts itself among the routers that may
+/// send requests to a cold replica: by then the others know it.
+const SETTLING_TIME: Duration = Duration::from_secs(2);
+
+/// Position of this router among those that may send requests to one cold replica.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SubsetPosition {
+    /// Number of these routers that come before this one.
+    pub rank: u32,
+    /// Number of these routers.
+    pub size: u32,
+    /// Whether the registration of this router is certainly valid. The other routers may otherwise
+    /// have chosen another one in its place.
+    pub is_confirmed: bool,
+}
+
+/// Registration of this router in the store.
+#[derive(Clone, Copy, Debug)]
+struct Registration {
+    /// Clock reading from which all other routers know of it.
+    settled_at: Duration,
+    /// Clock reading until which it is valid unless it is renewed.
+    valid_until: Duration,
+}
+
 /// One router's view of the fleet: the routers that are registered in the store, and the seed
 /// addresses from the settings.
 #[derive(Debug, Default)]
@@ -44,6 +72,7 @@
     own_name: Arc<str>,
     peers: BTreeMap<Arc<str>, Peer>,
     seeds: Vec<SocketAddr>,
+    registration: Option<Registration>,
 }
 
 impl Membership {
@@ -57,7 +86,7 @@
     /// assert_eq!(membership.addresses().len(), 1);
     /// ```
     pub fn new(own_name: Arc<str>, seeds: Vec<SocketAddr>) -> Self {
-        Self { own_name, peers: BTreeMap::new(), seeds }
+        Self { own_name, peers: BTreeMap::new(), seeds, registration: None }
     }
 
     /// Replaces the seed addresses, which come from the settings.
@@ -102,6 +131,61 @@
         lost
     }
 
+    /// Records that the registration of this router was written or renewed by a call that was sent
+    /// at `sent_at`, and is valid for the time `valid_for` since.
+    pub fn on_registered(&mut self, sent_at: Duration, valid_for: Duration) {
+        let valid_until = sent_at.saturating_add(valid_for);
+        let is_listed = |peer: &Peer| peer.unlisted_since.is_none();
+        let settled_at = match self.registration {
+            Some(registration) if sent_at < registration.valid_until => registration.settled_at,
+            // The entry of an earlier process of this name still exists.
+            _ if self.peers.get(&self.own_name).is_some_and(is_listed) => sent_at,
+            _ => sent_at.saturating_add(SETTLING_TIME),
+        };
+        self.registration = Some(Registration { settled_at, valid_until });
+    }
+
+    /// Returns the position of this router among those that may send requests to the cold replica
+    /// whose identifier has the hash `replica`. Returns `None` if it is not one of them, or if
+    /// another router may not know of it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselworks_policy::membership::Membership;
+    ///
+    /// let minute = Duration::from_secs(60);
+    /// let mut membership = Membership::new("a".into(), Vec::new());
+    /// membership.put("a".into(), ([127, 0, 0, 1], 80).into());
+    /// assert_eq!(membership.cold_subset_position(Duration::ZERO, 7), None);
+    /// membership.on_registered(Duration::ZERO, minute);
+    /// let position = membership.cold_subset_position(Duration::ZERO, 7).unwrap();
+    /// assert_eq!((position.rank, position.size, position.is_confirmed), (0, 1, true));
+    /// assert!(!membership.cold_subset_position(minute, 7).unwrap().is_confirmed);
+    /// ```
+    pub fn cold_subset_position(&self, now: Duration, replica: u64) -> Option<SubsetPosition> {
+        let registration = self.registration?;
+        if now < registration.settled_at {
+            return None;
+        }
+        let score = |name: &str| xxh3_64_with_seed(name.as_bytes(), replica);
+        let own_score = score(&self.own_name);
+        let (mut rank, mut listed, mut is_listed) = (0, 0, false);
+        for (name, peer) in &self.peers {
+            if peer.unlisted_since.is_some() {
+                continue;
+            }
+            listed += 1;
+            is_listed |= *name == self.own_name;
+            rank += usize::from(score(name) > own_score);
+        }
+        let is_confirmed = now < registration.valid_until;
+        (is_listed && rank < COLD_SUBSET).then(|| SubsetPosition {
+            rank: rank as u32,
+            size: listed.min(COLD_SUBSET) as u32,
+            is_confirmed,
+        })
+    }
+
     /// Returns the number of registered routers, this one included.
     pub fn live_count(&self) -> u32 {
         let others = self
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -13,13 +13,15 @@
 use rand::{Rng, RngExt};
 
 use super::scan::Scan;
-use super::{Prompt, admission};
+use super::{Prompt, admission, cold};
 use crate::upstream::{AverageLoad, Member, Pool, ServiceLoad, Upstream};
 use crate::verdict::{Refusal, RefusalReason};
 
 /// Retry-after time for a service without a replica that the request may be sent to: an ejected
 /// replica is tried again after one second, and a new replica is listed within one second.
 const NO_CANDIDATE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Time over which the retries of callers are spread that are refused while all replicas are cold.
+const COLD_RETRY_SPREAD: Duration = Duration::from_millis(500);
 /// Fraction that this router uses of the load above the mean that
 /// [`PlacementSettings::load_factor`] allows. The rest is left for the other routers, which place
 /// requests by the same load reports before the replicas report again.
@@ -84,6 +86,8 @@
     Spill,
     /// The replica has the least load of those that were compared.
     LeastLoad,
+    /// The replica is cold and has room, and no other replica takes the request.
+    ColdRoom,
 }
 
 impl PlacementReason {
@@ -93,6 +97,7 @@
             PlacementReason::Home => "home",
             PlacementReason::Spill => "spill",
             PlacementReason::LeastLoad => "least_load",
+            PlacementReason::ColdRoom => "cold_room",
         }
     }
 }
@@ -113,6 +118,8 @@
     pub report_age: Option<Duration>,
     /// Address of another replica that may have more of the prompt cached.
     pub holder: Option<SocketAddr>,
+    /// Whether the first replica in the key's order was passed over because it is cold.
+    pub is_home_cold: bool,
     /// Load of the service before the request was placed.
     pub service_load: ServiceLoad,
 }
@@ -149,41 +156,78 @@
     random: &mut impl Rng,
 ) -> Result<Placement, Refusal> {
     let key = request.prompt.and_then(Prompt::affinity_key);
-    let Some(scan) = Scan::new(pool, now, request, key, settings.routers) else {
-        let (reason, retry_after) = match pool.shortest_rest(now) {
-            Some(rest) => (RefusalReason::Resting, rest),
-            None if pool.has_evacuated_replica() => {
-                (RefusalReason::Evacuated, NO_CANDIDATE_RETRY_AFTER)
-            }
-            None => (RefusalReason::NoReplica, NO_CANDIDATE_RETRY_AFTER),
-        };
-        return Err(Refusal::not_run(reason, Some(retry_after.min(request.max_retry_after))));
+    let scan = Scan::new(pool, now, request, key, settings.routers);
+    let refusal = match &scan {
+        Some(scan) => match place_at_candidate(pool, scan, now, request, key, settings, random) {
+            Ok(placement) => return Ok(placement),
+            Err(reason) => Refusal::not_run(reason, None),
+        },
+        None => no_candidate_refusal(pool, now, request, random),
     };
-    if let Some(reason) = admission::service_refusal(pool, now, &scan, request) {
-        return Err(Refusal::not_run(reason, None));
+    let no_load = AverageLoad { peer_requests: 0.0, own_requests: 0.0, routers: settings.routers };
+    let average_load = scan.as_ref().map_or(&no_load, Scan::average_load);
+    let cold = cold::choose_cold(pool, now, request, key, average_load)
+        .filter(|_| refusal.reason != RefusalReason::LateCaller);
+    let Some(choice) = cold else { return Err(refusal) };
+    let service_load = scan.as_ref().map_or_else(ServiceLoad::default, Scan::service_load);
+    Ok(choice.to_placement(now, service_load))
+}
+
+/// Chooses a replica that is not cold.
+fn place_at_candidate(
+    pool: &Pool,
+    scan: &Scan<'_>,
+    now: Duration,
+    request: &PlacementRequest<'_>,
+    key: Option<u64>,
+    settings: &PlacementSettings,
+    random: &mut impl Rng,
+) -> Result<Placement, RefusalReason> {
+    if let Some(reason) = admission::service_refusal(pool, now, scan, request) {
+        return Err(reason);
     }
     let mut choice = match key {
-        Some(_) => choose_by_affinity(&scan, now, settings, random),
-        None => choose_by_load(&scan, now, request.zone, random),
+        Some(_) => choose_by_affinity(scan, now, settings, random),
+        None => choose_by_load(scan, now, request.zone, random),
     };
     if admission::exceeds_max_wait(pool, choice.member, now, request, scan.average_load(), settings)
     {
         let may_spill_over = key.is_some() && !scan.is_nearly_full();
         let spillover =
-            may_spill_over.then(|| choose_spillover(&scan, now, settings, random)).flatten();
-        choice = spillover.ok_or(Refusal::not_run(RefusalReason::Overloaded, None))?;
+            may_spill_over.then(|| choose_spillover(scan, now, settings, random)).flatten();
+        choice = spillover.ok_or(RefusalReason::Overloaded)?;
     }
     let mut placement = choice.to_placement(now, scan.service_load());
     placement.holder = scan.holder(choice.member).map(|member| member.upstream.address);
+    placement.is_home_cold = scan.is_home_cold();
     Ok(placement)
 }
 
+/// Returns the refusal of a request for which there is no replica that is not cold.
+fn no_candidate_refusal(
+    pool: &Pool,
+    now: Duration,
+    request: &PlacementRequest<'_>,
+    random: &mut impl Rng,
+) -> Refusal {
+    let (reason, retry_after) = if let Some(cold) = cold::shortest_cold(pool, now) {
+        (RefusalReason::Cold, cold + COLD_RETRY_SPREAD.mul_f64(random.random()))
+    } else if let Some(rest) = pool.shortest_rest(now) {
+        (RefusalReason::Resting, rest)
+    } else if pool.has_evacuated_replica() {
+        (RefusalReason::Evacuated, NO_CANDIDATE_RETRY_AFTER)
+    } else {
+        (RefusalReason::NoReplica, NO_CANDIDATE_RETRY_AFTER)
+    };
+    Refusal::not_run(reason, Some(retry_after.min(request.max_retry_after)))
+}
+
 /// A replica and the data behind its choice, without the holder of the prompt.
-struct Choice<'a> {
-    member: &'a Member,
-    reason: PlacementReason,
-    load: f64,
-    bound: f64,
+pub(super) struct Choice<'a> {
+    pub(super) member: &'a Member,
+    pub(super) reason: PlacementReason,
+    pub(super) load: f64,
+    pub(super) bound: f64,
 }
 
 impl Choice<'_> {
@@ -191,7 +235,16 @@
         let Self { member, reason, load, bound } = *self;
         let report_age = member.load.report_age(now);
         let upstream = member.upstream.clone();
-        Placement { upstream, reason, load, bound, report_age, holder: None, service_load }
+        Placement {
+            upstream,
+            reason,
+            load,
+            bound,
+            report_age,
+            holder: None,
+            is_home_cold: false,
+            service_load,
+        }
     }
 }
 
--- a/teaselworks_policy/src/placement/mod.rs
+++ b/teaselworks_policy/src/placement/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod choice;
+mod cold;
 mod detour;
 mod prompt;
 mod rendezvous;
--- a/teaselworks_policy/src/placement/retry_after.rs
+++ b/teaselworks_policy/src/placement/retry_after.rs
@@ -42,6 +42,11 @@
         self.placed_at = now;
     }
 
+    /// Records a refusal whose retry is not scheduled.
+    pub fn on_refused(&mut self, now: Duration) {
+        self.refused_at = Some(now);
+    }
+
     /// Schedules a retry for a caller that is refused now. Returns the retry-after time, which is
     /// at most `max_retry_after`.
     ///
@@ -62,7 +67,7 @@
         max_retry_after: Duration,
         random: &mut impl Rng,
     ) -> Duration {
-        self.refused_at = Some(now);
+        self.on_refused(now);
         let retries_per_s = self.placement_rate(now).max(MIN_PLACED_PER_S) * RETRY_SHARE;
         let retry_at = self.last_retry_at.max(now + MIN_RETRY_AFTER)
             + Duration::from_secs_f64(1.0 / retries_per_s);
--- a/teaselworks_policy/src/placement/scan.rs
+++ b/teaselworks_policy/src/placement/scan.rs
@@ -1,7 +1,7 @@
 //! Collects the load totals of a service's replicas and the first replicas in a key's order.
 //!
-//! A replica is eligible if it takes requests and was not tried for the request, whatever its
-//! health. It is usable if it is neither ejected nor being probed. The candidates are the replicas
+//! A replica is eligible if it takes requests, is not cold and was not tried for the request,
+//! whatever its health. It is usable if it is neither ejected nor being probed. The candidates are the replicas
 //! that the request may be sent to: those that are eligible and usable, or all eligible ones if too
 //! few of these are usable.
 
@@ -69,6 +69,8 @@
     shared_report_count: usize,
     /// Total slots of the candidates.
     slots: u32,
+    /// Whether the first replica in the key's order is cold, and thus not a candidate.
+    is_home_cold: bool,
     average_load: AverageLoad,
     /// First candidates in the key's order; empty without a key.
     ranked: TopScored<'a, RANKED_REPLICAS>,
@@ -101,6 +103,7 @@
             unreported_count: 0.0,
             shared_report_count: 0,
             slots: 0,
+            is_home_cold: false,
             average_load: AverageLoad { peer_requests: 0.0, own_requests: 0.0, routers },
             ranked: TopScored::new(),
             holders: TopScored::new(),
@@ -120,14 +123,18 @@
     fn scan_pool(&mut self, routers: u32) -> usize {
         let (mut own, mut reported, mut weight_sum) = (0_u32, 0.0, 0.0);
         let (mut eligible_count, mut candidate_count, mut shared_report_count) = (0, 0, 0);
-        let mut slots = 0_u32;
+        let (mut slots, mut best_cold_score) = (0_u32, 0);
         for member in self.pool.members() {
             let score = self.key.map_or(0, |key| rendezvous_score(key, member.id_hash));
             let is_usable = member.health.is_usable(self.now);
             if is_usable && self.key.is_some() && !member.has_empty_cache && !member.is_suspended {
                 self.holders.add(score, member);
             }
-            if !is_eligible(member, self.tried, self.now) {
+            if !is_available(member, self.tried, self.now) {
+                continue;
+            }
+            if self.pool.cold_remaining(self.now, member).is_some() {
+                best_cold_score = best_cold_score.max(score);
                 continue;
             }
             eligible_count += 1;
@@ -148,6 +155,7 @@
         self.candidate_count = candidate_count;
         self.shared_report_count = shared_report_count;
         self.slots = slots;
+        self.is_home_cold = best_cold_score > self.ranked.scores[0];
         self.known_requests = own + reported;
         self.unreported_count = candidate_count as f64 - weight_sum;
         // Without any report, every other router is assumed to have as many requests as this one.
@@ -161,7 +169,8 @@
     }
 
     fn is_candidate(&self, member: &Member) -> bool {
-        is_eligible(member, self.tried, self.now)
+        is_available(member, self.tried, self.now)
+            && self.pool.cold_remaining(self.now, member).is_none()
             && (!self.excludes_unusable || member.health.is_usable(self.now))
     }
 
@@ -198,6 +207,11 @@
         }
     }
 
+    /// Returns whether the first replica in the key's order was passed over because it is cold.
+    pub(super) fn is_home_cold(&self) -> bool {
+        self.is_home_cold
+    }
+
     /// Returns the number of candidates.
     pub(super) fn candidate_count(&self) -> usize {
         self.candidate_count
@@ -224,9 +238,10 @@
     }
 }
 
-/// Tells whether a replica takes requests (it is neither draining nor resting nor has an entry that
-/// cannot be decoded) and was not tried for this request; ignores its health.
-fn is_eligible(member: &Member, tried: &[Arc<str>], now: Duration) -> bool {
+/// Tells whether a replica takes requests (it is neither draining nor resting, its zone is not
+/// evacuated, and its entry can be decoded) and was not tried for this request; ignores its health
+/// and whether it is cold.
+pub(super) fn is_available(member: &Member, tried: &[Arc<str>], now: Duration) -> bool {
     let is_available = member.takes_requests() && member.remaining_rest(now).is_none();
     is_available && (tried.is_empty() || !tried.contains(&member.upstream.id))
 }
--- a/teaselworks_policy/src/upstream/member.rs
+++ b/teaselworks_policy/src/upstream/member.rs
@@ -5,7 +5,7 @@
 
 use crate::placement::{hash_upstream_id, rendezvous_score};
 
-use super::{Health, Load, Reachability, Upstream};
+use super::{ColdState, Health, Load, Reachability, Upstream};
 
 /// One replica of a service, as a member of the service's pool.
 #[derive(Debug)]
@@ -20,6 +20,8 @@
     pub health: Health,
     /// Failures of requests of all routers since the replica last responded.
     pub reach: Reachability,
+    /// Whether the replica is cold, and how many requests it may get then.
+    pub cold: ColdState,
     /// Exponential moving average of the time from sending a request to the end of its answer;
     /// `None` before the first answer.
     pub mean_request_time: Option<Duration>,
@@ -35,8 +37,7 @@
     pub(super) is_evacuated: bool,
     /// Time until which the replica wants no request from this router.
     pub(super) resting_until: Option<Duration>,
-    /// Whether the replica has restarted and answered no request since, so that its prompt cache is
-    /// empty.
+    /// Whether the replica has started, with an empty prompt cache, and answered no request since.
     pub has_empty_cache: bool,
 }
 
@@ -49,6 +50,7 @@
             load: Load::default(),
             health: Health::default(),
             reach: Reachability::default(),
+            cold: ColdState::default(),
             mean_request_time: None,
             is_suspended: false,
             is_leaving: false,
--- a/teaselworks_policy/src/upstream/mod.rs
+++ b/teaselworks_policy/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Upstreams, the replicas of model engines and services: the list of them, their load and health.
 
 mod brittleness;
+mod cold;
 mod concurrency;
 mod connecting;
 mod evacuation;
@@ -16,9 +17,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 pub use self::brittleness::{Brittleness, brittle_requests_per_slot};
+pub use self::cold::{ColdBound, ColdSettings, ColdState};
 pub use self::concurrency::ConcurrencyLimit;
 pub use self::connecting::ConnectTimes;
 pub use self::evacuation::{EvacuatedZones, EvacuationChange};
@@ -63,6 +65,8 @@
     pub is_draining: bool,
     /// Start time of the process by its own clock; `None` if the replica does not report it.
     pub started: Option<SystemTime>,
+    /// Time for which the replica was still cold when it wrote its entry; zero if it was not.
+    pub cold_remaining: Duration,
 }
 
 impl Upstream {
@@ -104,6 +108,7 @@
             slots: 8,
             is_draining: false,
             started: None,
+            cold_remaining: Duration::ZERO,
         }
     }
 }
--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -6,17 +6,21 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
+use crate::membership::Membership;
 use crate::placement::{Detours, RetryAfterSchedule};
 
 use super::{
-    Brittleness, ConcurrencyLimit, EjectionChange, EvacuatedZones, Incarnation, LinkChange,
-    LoadReport, Member, ObservationIndex, RequestOutcome, ServiceLink, ServiceLoad, SharedFailures,
-    SharedLoad, SharedObservations, SlotShare, Upstream,
+    Brittleness, ColdBound, ConcurrencyLimit, EjectionChange, EvacuatedZones, Incarnation,
+    LinkChange, LoadReport, Member, ObservationIndex, RequestOutcome, ServiceLink, ServiceLoad,
+    SharedFailures, SharedLoad, SharedObservations, SlotShare, Upstream,
 };
 
 /// Weight of the latest request in the exponential moving average of request times.
 const LATEST_WEIGHT: f64 = 0.1;
 
+/// Time for which this router's shares of the cold replicas are used before they are computed
+/// again from the list of routers.
+const COLD_SHARES_LIFETIME: Duration = Duration::from_millis(100);
 /// Lower bound of the concurrency limit, as requests per slot over all routers together. It is
 /// above 1 so that, beyond the requests that the replicas process, some wait for the next free
 /// slot.
@@ -38,6 +42,10 @@
     /// Limit that is derived from the load reports that routers share.
     slot_share: SlotShare,
     brittleness: Brittleness,
+    /// Bound on the requests to a cold replica; `None` if cold replicas are like others.
+    cold_bound: Option<ColdBound>,
+    /// Clock reading at which this router's shares of the cold replicas were last computed.
+    cold_shares_at: Option<Duration>,
     /// This router's link to the replicas.
     link: ServiceLink,
     /// Schedule of the retries of callers that were refused.
@@ -68,7 +76,8 @@
     pub fn put(&mut self, upstream: Upstream) {
         let Some(member) = self.members.iter_mut().find(|member| member.upstream.id == upstream.id)
         else {
-            self.members.push(Member::new(upstream, false));
+            let has_empty_cache = !upstream.cold_remaining.is_zero();
+            self.members.push(Member::new(upstream, has_empty_cache));
             return;
         };
         if member.upstream.incarnation() == upstream.incarnation() {
@@ -205,6 +214,47 @@
         }
     }
 
+    /// Sets the bound on the requests to a cold replica.
+    pub fn set_cold_bound(&mut self, bound: Option<ColdBound>) {
+        self.cold_bound = bound;
+    }
+
+    /// Records for how long a replica is still cold, as its latest entry says.
+    pub fn set_cold_remaining(&mut self, now: Duration, id: &str, remaining: Duration) {
+        if let Some(member) = self.find_mut(id) {
+            member.cold.set_remaining(now, remaining);
+        }
+    }
+
+    /// Returns the time for which a replica is still cold; `None` if it is not cold, or if cold
+    /// replicas of the service are like others.
+    pub fn cold_remaining(&self, now: Duration, member: &Member) -> Option<Duration> {
+        self.cold_bound.and_then(|_| member.cold.remaining(now))
+    }
+
+    /// Returns the number of replicas that are cold.
+    pub fn cold_count(&self, now: Duration) -> usize {
+        self.members.iter().filter(|member| self.cold_remaining(now, member).is_some()).count()
+    }
+
+    /// Updates how many requests this router may send to each cold replica, unless that was done
+    /// lately.
+    pub fn update_cold_shares(&mut self, now: Duration, membership: &Membership) {
+        let Some(bound) = self.cold_bound else { return };
+        let is_recent = |at: Duration| now.saturating_sub(at) < COLD_SHARES_LIFETIME;
+        if self.cold_shares_at.is_some_and(is_recent) {
+            return;
+        }
+        self.cold_shares_at = Some(now);
+        for member in &mut self.members {
+            if member.cold.remaining(now).is_none() {
+                continue;
+            }
+            let position = membership.cold_subset_position(now, member.id_hash);
+            member.cold.set_share(position.map_or(0, |position| bound.share(position)));
+        }
+    }
+
     /// Returns whether some replica gets no requests only because its zone is evacuated.
     pub fn has_evacuated_replica(&self) -> bool {
         self.members.iter().any(|member| member.is_evacuated && member.is_in_service())
@@ -266,6 +316,7 @@
         self.link.begin_request(now);
         let Some(member) = self.find_incarnation(incarnation) else { return };
         member.load.begin_request();
+        member.cold.begin_request(now);
         member.health.begin_request(now);
     }
 
--- a/teaselworks_policy/src/upstream/slot_share.rs
+++ b/teaselworks_policy/src/upstream/slot_share.rs
@@ -27,7 +27,7 @@
 const SPARE_REQUESTS: f64 = 1.0;
 
 /// Requests in progress at a service and its slots, as one router knows them.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServiceLoad {
     /// Requests of this router.
     pub own_requests: f64,
--- a/teaselworks_policy/src/verdict.rs
+++ b/teaselworks_policy/src/verdict.rs
@@ -65,6 +65,9 @@
     Resting,
     /// No replica can be chosen, and the operator has evacuated the zones of some.
     Evacuated,
+    /// No replica can be chosen, and some are cold and have no room for another request of this
+    /// router.
+    Cold,
     /// The expected wait for a slot at the chosen replica exceeds the share of the target latency
     /// that a request may wait, or the time left, and no replica with room was found instead.
     Overloaded,
@@ -94,7 +97,7 @@
 
 impl RefusalReason {
     /// All reasons, in the order in which the metrics list them.
-    pub const ALL: [RefusalReason; 18] = [
+    pub const ALL: [RefusalReason; 19] = [
         RefusalReason::NoConfiguration,
         RefusalReason::Malformed,
         RefusalReason::UnknownRoute,
@@ -104,6 +107,7 @@
         RefusalReason::NoReplica,
         RefusalReason::Resting,
         RefusalReason::Evacuated,
+        RefusalReason::Cold,
         RefusalReason::Overloaded,
         RefusalReason::Limited,
         RefusalReason::LateCaller,
@@ -141,6 +145,7 @@
             RefusalReason::NoReplica => "no_replica",
             RefusalReason::Resting => "resting",
             RefusalReason::Evacuated => "evacuated",
+            RefusalReason::Cold => "cold",
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::Limited => "limited",
             RefusalReason::LateCaller => "late_caller",
@@ -211,6 +216,7 @@
                 | RefusalReason::Unauthorized
                 | RefusalReason::NoReplica
                 | RefusalReason::Resting
+                | RefusalReason::Cold
                 | RefusalReason::Unreachable
                 | RefusalReason::Stopping
         );
@@ -243,6 +249,7 @@
             | RefusalReason::NoReplica
             | RefusalReason::Resting
             | RefusalReason::Evacuated
+            | RefusalReason::Cold
             | RefusalReason::Overloaded
             | RefusalReason::Limited
             | RefusalReason::LateCaller
--- a/teaselworks_policy/tests/observations.rs
+++ b/teaselworks_policy/tests/observations.rs
@@ -6,7 +6,7 @@
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::retry::BudgetSettings;
 use teaselworks_policy::upstream::{
-    AverageLoad, Change, Load, LoadReport, RequestOutcome, Upstream,
+    AverageLoad, Change, ColdSettings, Load, LoadReport, RequestOutcome, Upstream,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -15,9 +15,10 @@
 fn new_router(upstreams: &[Upstream]) -> Fleet {
     let budget = BudgetSettings { ratio: 0.2, slack: 10.0, window: 10 * SECOND };
     let membership = Membership::new("router".into(), Vec::new());
-    let mut fleet = Fleet::new(FleetSettings { load_factor: 2.0, budget }, membership, 1);
+    let cold = ColdSettings { overshoot: 1.0, slack: 0.0 };
+    let mut fleet = Fleet::new(FleetSettings { load_factor: 2.0, cold, budget }, membership, 1);
     for upstream in upstreams {
-        fleet.apply(&Change::Serving(upstream.clone()));
+        fleet.apply(Duration::ZERO, &Change::Serving(upstream.clone()));
     }
     fleet
 }
--- a/teaselworks_policy/tests/retry_after.rs
+++ b/teaselworks_policy/tests/retry_after.rs
@@ -9,7 +9,7 @@
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::placement::{PlacementRequest, RetryAfterSchedule};
 use teaselworks_policy::retry::BudgetSettings;
-use teaselworks_policy::upstream::{Change, LoadReport, RequestOutcome, Upstream};
+use teaselworks_policy::upstream::{Change, ColdSettings, LoadReport, RequestOutcome, Upstream};
 use teaselworks_policy::verdict::RefusalReason;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -56,9 +56,10 @@
 fn refusals_of_a_full_service_have_a_retry_after_time() {
     let budget = BudgetSettings { ratio: 0.2, slack: 10.0, window: 10 * SECOND };
     let membership = Membership::new("router".into(), Vec::new());
-    let mut fleet = Fleet::new(FleetSettings { load_factor: 2.0, budget }, membership, 1);
+    let cold = ColdSettings { overshoot: 1.0, slack: 0.0 };
+    let mut fleet = Fleet::new(FleetSettings { load_factor: 2.0, cold, budget }, membership, 1);
     let upstream = Upstream::example("i-1", "service");
-    fleet.apply(&Change::Serving(upstream.clone()));
+    fleet.apply(Duration::ZERO, &Change::Serving(upstream.clone()));
     let request = PlacementRequest {
         prompt: None,
         zone: "a",
