The load bound counts replicas that get no requests

Placement took the mean of the others.

Change: the bound of a replica is at most the allowed factor times the mean that includes such replicas, and never below the mean of those in use and three.

--- a/teaselworks_model/src/lib.rs
+++ b/teaselworks_model/src/lib.rs
@@ -13,8 +13,8 @@
 mod run;
 
 pub use self::load::{
-    ColdRestart, EngineSettings, HotPart, Load, LoadError, Outage, PlacementMode, RequestKind,
-    Surge,
+    ColdRestart, EngineSettings, Evacuation, HotPart, Load, LoadError, Outage, PlacementMode,
+    RequestKind, Surge,
 };
 pub use self::result::{EngineTotals, Outcome, RequestCounts};
 pub use self::run::run;
--- a/teaselworks_model/src/load.rs
+++ b/teaselworks_model/src/load.rs
@@ -37,6 +37,8 @@
     pub outages: Vec<Outage>,
     /// Period in which the engines are brittle.
     pub brittle: Option<Brittle>,
+    /// Evacuation of the zone of some engines.
+    pub evacuation: Option<Evacuation>,
     /// Restart of some engines, which are cold then.
     pub cold: Option<ColdRestart>,
     /// Periods in which many requests have the same shared prompt part.
@@ -169,6 +171,31 @@
     }
 }
 
+/// An evacuation of the zone of some engines, which get no new requests meanwhile. All routers know
+/// of it at once.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Evacuation {
+    /// Start of the evacuation.
+    pub at_s: f64,
+    /// Length of the evacuation.
+    pub for_s: f64,
+    /// Fraction of the engines that are in the zone, from 0 to 1.
+    pub share: f64,
+}
+
+impl Evacuation {
+    /// Returns whether an engine is in the evacuated zone; the engines with the lowest numbers are.
+    pub(crate) fn affects(&self, engine: u32, engines: u32) -> bool {
+        f64::from(engine) < self.share * f64::from(engines)
+    }
+
+    /// Returns whether the zone is evacuated.
+    pub(crate) fn is_in_effect(&self, now: Duration) -> bool {
+        is_within(now.as_secs_f64(), self.at_s, self.for_s)
+    }
+}
+
 /// A restart of some engines, which lose their requests and caches and are cold then: one that gets
 /// too many requests within a second falls over.
 #[derive(Clone, Copy, Debug, Deserialize)]
--- a/teaselworks_model/src/router.rs
+++ b/teaselworks_model/src/router.rs
@@ -21,6 +21,8 @@
 const RESTARTED: SystemTime = SystemTime::UNIX_EPOCH;
 /// Availability zone of all routers and engines.
 const ZONE: &str = "a";
+/// Availability zone of the engines that [`Load::evacuation`] affects.
+const EVACUATED_ZONE: &str = "b";
 
 /// Creates router `number`, which knows all routers and engines and the configuration from the
 /// start.
@@ -69,6 +71,18 @@
     configuration
 }
 
+/// Returns whether an engine is in the zone that is evacuated at some time.
+fn is_evacuated(load: &Load, engine: u32) -> bool {
+    load.evacuation.is_some_and(|evacuation| evacuation.affects(engine, load.engines.count))
+}
+
+/// Tells a router whether the zone of [`Load::evacuation`] is evacuated.
+pub(crate) fn set_evacuated(fleet: &mut Fleet, now: Duration, is_evacuated: bool) {
+    fleet.update_evacuations(|zones| {
+        if is_evacuated { zones.begin(now, EVACUATED_ZONE) } else { zones.end(now, EVACUATED_ZONE) }
+    });
+}
+
 /// Tells a router that an engine has restarted and is cold for the time `cold_remaining`.
 pub(crate) fn announce_restart(
     fleet: &mut Fleet,
@@ -89,6 +103,7 @@
     Upstream {
         address: ([127, 0, 0, 1], port).into(),
         slots: load.engines.slots,
+        zone: if is_evacuated(load, engine) { EVACUATED_ZONE } else { ZONE }.into(),
         ..Upstream::example(&format!("engine-{engine}"), SERVICE)
     }
 }
--- a/teaselworks_model/src/run.rs
+++ b/teaselworks_model/src/run.rs
@@ -97,6 +97,8 @@
     events: BTreeMap<Duration, Vec<Event>>,
     /// Whether the engines of [`Load::cold`] have restarted.
     has_cold_engines: bool,
+    /// Whether the zone of [`Load::evacuation`] is evacuated.
+    is_evacuated: bool,
     /// Time of the last exchange of observations between the routers.
     exchanged_at: Duration,
     outcome: Outcome,
@@ -128,6 +130,7 @@
             in_flight: HashMap::new(),
             events: BTreeMap::new(),
             has_cold_engines: false,
+            is_evacuated: false,
             exchanged_at: Duration::ZERO,
             outcome: Outcome::default(),
         }
@@ -141,6 +144,7 @@
                 self.add_arrivals();
             }
             self.update_outages();
+            self.update_evacuation();
             self.begin_cold_restart();
             self.exchange_observations();
             while self.events.first_key_value().is_some_and(|(at, _)| *at <= self.now) {
@@ -181,6 +185,18 @@
         }
     }
 
+    /// Tells all routers when the evacuation begins and when it ends.
+    fn update_evacuation(&mut self) {
+        let is_evacuated =
+            self.load.evacuation.is_some_and(|evacuation| evacuation.is_in_effect(self.now));
+        if std::mem::replace(&mut self.is_evacuated, is_evacuated) == is_evacuated {
+            return;
+        }
+        for fleet in &mut self.routers {
+            router::set_evacuated(fleet, self.now, is_evacuated);
+        }
+    }
+
     /// Shares the routers' new observations of engines: the first router collects them from the
     /// others, and passes all of them on to each.
     fn exchange_observations(&mut self) {
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -272,7 +272,7 @@
     }
     let mean = scan.mean_requests();
     let spread = if service_load.has_shared_reports {
-        mean..settings.load_factor * mean + SPARE_REQUESTS
+        mean..largest_allowed_load(scan, settings)
     } else {
         bound..bound
     };
@@ -349,7 +349,17 @@
 /// Returns the number of requests that a replica should not exceed.
 fn load_bound(scan: &Scan<'_>, settings: &PlacementSettings) -> f64 {
     let excess = (settings.load_factor - 1.0).max(0.0) * USED_EXCESS_SHARE;
-    scan.mean_requests() * (1.0 + excess) + SPARE_REQUESTS
+    let bound = scan.mean_requests() * (1.0 + excess) + SPARE_REQUESTS;
+    bound.min(largest_allowed_load(scan, settings))
+}
+
+/// Returns the number of requests that a replica may have by [`PlacementSettings::load_factor`].
+///
+/// Replicas that get no requests lower the mean load of the service, and thus what the others may
+/// have; but these need at least their mean load and a few requests.
+fn largest_allowed_load(scan: &Scan<'_>, settings: &PlacementSettings) -> f64 {
+    let allowed = settings.load_factor * scan.mean_requests_with_idle();
+    allowed.max(scan.mean_requests()) + SPARE_REQUESTS
 }
 
 /// Result of [`search_order`].
--- a/teaselworks_policy/src/placement/scan.rs
+++ b/teaselworks_policy/src/placement/scan.rs
@@ -69,6 +69,9 @@
     shared_report_count: usize,
     /// Total slots of the candidates.
     slots: u32,
+    /// Number of replicas that are in service but get no requests: those that are cold, or whose zone
+    /// is evacuated.
+    idle_count: usize,
     /// Whether the first replica in the key's order is cold, and thus not a candidate.
     is_home_cold: bool,
     average_load: AverageLoad,
@@ -103,6 +106,7 @@
             unreported_count: 0.0,
             shared_report_count: 0,
             slots: 0,
+            idle_count: 0,
             is_home_cold: false,
             average_load: AverageLoad { peer_requests: 0.0, own_requests: 0.0, routers },
             ranked: TopScored::new(),
@@ -123,7 +127,7 @@
     fn scan_pool(&mut self, routers: u32) -> usize {
         let (mut own, mut reported, mut weight_sum) = (0_u32, 0.0, 0.0);
         let (mut eligible_count, mut candidate_count, mut shared_report_count) = (0, 0, 0);
-        let (mut slots, mut best_cold_score) = (0_u32, 0);
+        let (mut slots, mut idle_count, mut best_cold_score) = (0_u32, 0, 0);
         for member in self.pool.members() {
             let score = self.key.map_or(0, |key| rendezvous_score(key, member.id_hash));
             let is_usable = member.health.is_usable(self.now);
@@ -131,9 +135,11 @@
                 self.holders.add(score, member);
             }
             if !is_available(member, self.tried, self.now) {
+                idle_count += usize::from(member.is_evacuated && member.is_in_service());
                 continue;
             }
             if self.pool.cold_remaining(self.now, member).is_some() {
+                idle_count += 1;
                 best_cold_score = best_cold_score.max(score);
                 continue;
             }
@@ -155,6 +161,7 @@
         self.candidate_count = candidate_count;
         self.shared_report_count = shared_report_count;
         self.slots = slots;
+        self.idle_count = idle_count;
         self.is_home_cold = best_cold_score > self.ranked.scores[0];
         self.known_requests = own + reported;
         self.unreported_count = candidate_count as f64 - weight_sum;
@@ -190,6 +197,11 @@
         self.total_requests() / self.candidate_count as f64
     }
 
+    /// Returns the estimated mean number of requests at a replica that is a candidate or idle.
+    pub(super) fn mean_requests_with_idle(&self) -> f64 {
+        self.total_requests() / (self.candidate_count + self.idle_count) as f64
+    }
+
     /// Tells whether nearly all slots of the candidates are taken.
     pub(super) fn is_nearly_full(&self) -> bool {
         self.service_load().is_nearly_full()
--- a/teaselworks_policy/src/upstream/member.rs
+++ b/teaselworks_policy/src/upstream/member.rs
@@ -34,7 +34,7 @@
     /// as ready.
     pub(super) is_leaving: bool,
     /// Whether the operator has evacuated the replica's zone.
-    pub(super) is_evacuated: bool,
+    pub(crate) is_evacuated: bool,
     /// Time until which the replica wants no request from this router.
     pub(super) resting_until: Option<Duration>,
     /// Whether the replica has started, with an empty prompt cache, and answered no request since.
