Soak: evacuated zones, and replicas that are cold when these are taken back

Two guarantees had no check under faults: no request to an evacuated zone after the bound, and no more requests within a second at a cold replica than it bears. Replicas are spread over three zones now; a planned operation evacuates one, whose replicas announce that they are cold just before it is taken back.

Both checks have a simulated bug. The bug of drains has no bound now in place of a backdated record, which was cut off at the start of the soak and then hid the bug.

Kinds of faults have a file of their own.

--- a/teaselworks_standin/src/soak/checks.rs
+++ b/teaselworks_standin/src/soak/checks.rs
@@ -9,6 +9,7 @@
 };
 use super::link_checks::{check_cuts, check_leaving, check_rests};
 use super::record::{Arrival, Bug, FaultSpan, Observations, Outcome, Recorder, RequestRecord};
+use super::zone_checks::{check_cold_replicas, check_evacuations};
 use crate::configuration::{ARCHIVE_SERVICE, CHAT_SERVICE};
 
 /// Time after the end of a fault from which guarantees with a time bound hold again.
@@ -16,7 +17,7 @@
 /// Time for which a response that was in progress may still follow an older configuration.
 const IN_PROGRESS_SLACK: Duration = Duration::from_millis(250);
 /// Time that a request may take to pass through the proxies.
-const PROXY_LATENCY: Duration = Duration::from_millis(200);
+pub(super) const PROXY_LATENCY: Duration = Duration::from_millis(200);
 
 /// A violated guarantee.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -46,12 +47,14 @@
     check_runs(&observations, &mut violations);
     check_responses(&observations, &mut violations);
     check_rollbacks(&observations, &mut violations);
-    check_drains(&observations, &mut violations);
+    check_drains(&observations, recorder.simulated_bug, &mut violations);
     check_retries(&observations, &mut violations);
     check_planned_stops(&observations, recorder.simulated_bug, &mut violations);
     check_cuts(&observations, recorder.simulated_bug, &mut violations);
     check_rests(&observations, recorder.simulated_bug, &mut violations);
     check_leaving(&observations, recorder.simulated_bug, &mut violations);
+    check_evacuations(&observations, &mut violations);
+    check_cold_replicas(&observations, &mut violations);
     for (router, at) in &observations.unexpected_exits {
         let details = format!("the process of router-{router} was found to have exited at {at:?}");
         violations.push(Violation::new("no unexpected exit of a router", details));
@@ -137,16 +140,19 @@
 
 /// Checks that a draining replica gets no requests after the draining bound, unless an unplanned
 /// fault could have kept routers from learning that it drains.
-fn check_drains(observations: &Observations, violations: &mut Vec<Violation>) {
+fn check_drains(observations: &Observations, bug: Option<Bug>, violations: &mut Vec<Violation>) {
     for (upstream, listed_at) in &observations.draining_since {
-        let bound = *listed_at + DRAINING_BOUND + PROXY_LATENCY;
+        let bound = match bug {
+            Some(Bug::RequestsAfterDrain) => Duration::ZERO,
+            _ => *listed_at + DRAINING_BOUND + PROXY_LATENCY,
+        };
         let is_late = |arrival: &&Arrival| arrival.upstream == *upstream && arrival.at > bound;
         for arrival in observations.arrivals.iter().filter(is_late) {
             if is_undisturbed(observations, listed_at.saturating_sub(RECOVERY_TIME), arrival.at) {
                 let details = format!(
                     "{} reached {upstream} {:?} after it was listed as draining",
                     arrival.id,
-                    arrival.at - *listed_at
+                    arrival.at.saturating_sub(*listed_at)
                 );
                 violations.push(Violation::new("no new requests to draining replicas", details));
             }
--- /dev/null
+++ b/teaselworks_standin/src/soak/fault.rs
@@ -0,0 +1,256 @@
+//! Kinds of faults and planned operations of a soak, and which of them each of its phases may have.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg32;
+
+use super::faults::LOOP_INTERVAL;
+use super::fleet::{
+    DRAINING_BOUND, EVACUATION_BOUND, REPLICA_COUNT, REST, ReplicaMode, STOP_GRACE, SoakFleet,
+    ZONES,
+};
+use super::record::Bug;
+use crate::links::Partition;
+use crate::store::Mode;
+
+/// Length of a phase in which routers are cut off from all replicas and nothing else fails. It is
+/// followed by [`PLANNED_ONLY_PHASE`] and [`ALL_FAULTS_PHASE`], and then begins again.
+const CUTS_PHASE: Duration = Duration::from_secs(9);
+/// Length of a phase with planned operations only.
+const PLANNED_ONLY_PHASE: Duration = Duration::from_secs(12);
+/// Limit on the time for which routers are cut off from all replicas.
+const MAX_CUT_MS: u64 = 7_000;
+/// Length of a phase with every kind of fault.
+const ALL_FAULTS_PHASE: Duration = Duration::from_secs(12);
+/// Recorded duration of a stall: the time for which routers may still use stalled connections
+/// because they take them for working ones.
+const STALL_DURATION: Duration = Duration::from_secs(5);
+/// Limit on the time from the kill of a router to its restart.
+const MAX_DOWN_MS: u64 = 1_500;
+
+/// Part of a soak, by the faults that it may have.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Phase {
+    Cuts,
+    PlannedOnly,
+    AllFaults,
+}
+
+impl Phase {
+    /// Returns the phase at a time since the start of the soak.
+    pub(super) fn at(elapsed: Duration) -> Self {
+        let round_ms = (PLANNED_ONLY_PHASE + CUTS_PHASE + ALL_FAULTS_PHASE).as_millis();
+        let in_round = Duration::from_millis((elapsed.as_millis() % round_ms) as u64);
+        if in_round < CUTS_PHASE {
+            Phase::Cuts
+        } else if in_round < CUTS_PHASE + PLANNED_ONLY_PHASE {
+            Phase::PlannedOnly
+        } else {
+            Phase::AllFaults
+        }
+    }
+}
+
+/// Returns the part of the first round that is skipped: a simulated bug other than that of the
+/// first phase is violated, and reported, in the phase after it.
+pub(super) fn skipped_time(simulated_bug: Option<Bug>) -> Duration {
+    match simulated_bug {
+        None | Some(Bug::RefusalsByCutRouter) => Duration::ZERO,
+        Some(_) => CUTS_PHASE,
+    }
+}
+
+/// A connection path that leads through a proxy.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Link {
+    /// From the router with this index to the store.
+    Store(usize),
+    /// From all routers to the replica with this index.
+    Replica(usize),
+}
+
+/// A fault or a planned operation. The `usize` values are indexes of routers or replicas in the
+/// fleet.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Fault {
+    /// Planned: stops a router with SIGTERM and starts it again after the stop's grace period.
+    StopRouter(usize),
+    /// Planned: tells a router with SIGHUP to reload its settings.
+    ReloadSettings(usize),
+    /// Planned: publishes a new version of the configuration.
+    PublishConfiguration,
+    /// Planned: adds a replica, lets another leave, and removes that one later. The boolean tells
+    /// whether the one that leaves is listed as draining, or says so with its responses only.
+    ReplaceReplica(usize, bool),
+    /// Planned: a replica rejects some requests and asks for rest.
+    RestReplica(usize),
+    /// Planned: evacuates the zone with this index, whose replicas are cold when it is taken back.
+    EvacuateZone(usize),
+    /// Cuts some routers, the given number from the given index on, off from all replicas.
+    CutFromReplicas(usize, usize, Partition),
+    /// Kills a router with SIGKILL and starts it again later.
+    KillRouter(usize),
+    /// Suspends a router with SIGSTOP and resumes it later with SIGCONT.
+    SuspendRouter(usize),
+    /// Sets a mode in which the store answers no call, or every call with 503.
+    DisruptStore(Mode),
+    /// Discards the history of the store.
+    CompactStore,
+    /// Overwrites a replica's entry in the store with malformed JSON.
+    CorruptEntry(usize),
+    /// Crashes a replica and starts it again at once. Its entry is updated later.
+    RestartReplica(usize),
+    /// Switches a replica to a faulty mode until the fault ends.
+    DegradeReplica(usize, ReplicaMode),
+    /// Holds back all bytes of a link until the fault ends. The booleans tell whether the forward
+    /// and the backward direction are frozen; if both are false, the backward direction is.
+    FreezeLink(Link, bool, bool),
+    /// Delays both directions of a link by a number of milliseconds.
+    DelayLink(Link, u64),
+    /// Refuses new connections over a link.
+    RefuseConnects(Link),
+    /// Closes the open connections of a link.
+    CutConnections(Link),
+    /// Stalls the open connections of a link: until they are closed they carry no more data, also
+    /// after the fault has ended. New connections work.
+    StallConnections(Link),
+}
+
+impl Fault {
+    /// Draws a planned operation.
+    pub(super) fn random_planned(fleet: &SoakFleet, random: &mut Pcg32) -> Self {
+        let router = random.random_range(0..fleet.routers.len());
+        match random.random_range(0..6) {
+            0 => Fault::StopRouter(router),
+            1 => Fault::ReloadSettings(router),
+            2 => Fault::PublishConfiguration,
+            3 => Fault::RestReplica(random.random_range(0..REPLICA_COUNT)),
+            4 => Fault::EvacuateZone(random.random_range(0..ZONES.len())),
+            _ => Fault::ReplaceReplica(random.random_range(0..REPLICA_COUNT), random.random()),
+        }
+    }
+
+    /// Draws the planned operation in which a simulated bug shows; `None` if that does not depend on
+    /// one.
+    pub(super) fn random_for_bug(bug: Bug, random: &mut Pcg32) -> Option<Self> {
+        let replica = random.random_range(0..REPLICA_COUNT);
+        match bug {
+            Bug::RequestsAfterDrain => Some(Fault::ReplaceReplica(replica, true)),
+            Bug::RequestsWhileLeaving => Some(Fault::ReplaceReplica(replica, false)),
+            Bug::RequestsInRest => Some(Fault::RestReplica(replica)),
+            Bug::RequestsAfterEvacuation | Bug::ColdOverload => {
+                Some(Fault::EvacuateZone(random.random_range(0..ZONES.len())))
+            }
+            _ => None,
+        }
+    }
+
+    /// Draws a cut of at least one router, and not of all, from all replicas, or a change that
+    /// does not end a router.
+    pub(super) fn random_cut(fleet: &SoakFleet, random: &mut Pcg32) -> Self {
+        let routers = fleet.routers.len();
+        let router = random.random_range(0..routers);
+        match random.random_range(0..8) {
+            0 => Fault::ReloadSettings(router),
+            1 => Fault::PublishConfiguration,
+            _ => {
+                let count = random.random_range(1..routers.max(2));
+                let partition = Partition::ALL[random.random_range(0..Partition::ALL.len())];
+                Fault::CutFromReplicas(router, count, partition)
+            }
+        }
+    }
+
+    /// Draws a fault or a planned operation.
+    pub(super) fn random_any(fleet: &SoakFleet, random: &mut Pcg32) -> Self {
+        let router = random.random_range(0..fleet.routers.len());
+        let replica = random.random_range(0..REPLICA_COUNT);
+        let link = if random.random() { Link::Store(router) } else { Link::Replica(replica) };
+        let mode = if random.random() { Mode::Unavailable } else { Mode::Silent };
+        match random.random_range(0..17) {
+            0..3 => Self::random_planned(fleet, random),
+            3 => Fault::KillRouter(router),
+            4 => Fault::SuspendRouter(router),
+            5 => Fault::DisruptStore(mode),
+            6 => Fault::CompactStore,
+            7 => Fault::CorruptEntry(replica),
+            8 => Fault::RestartReplica(replica),
+            9 | 10 => Fault::DegradeReplica(
+                replica,
+                ReplicaMode::FAULTY[random.random_range(0..ReplicaMode::FAULTY.len())],
+            ),
+            11 => Fault::FreezeLink(link, random.random(), random.random()),
+            12 => Fault::DelayLink(link, random.random_range(20..300)),
+            13 => Fault::RefuseConnects(link),
+            14 => Fault::CutConnections(link),
+            15 => Self::random_cut(fleet, random),
+            _ => Fault::StallConnections(link),
+        }
+    }
+
+    pub(super) fn is_planned(self) -> bool {
+        matches!(
+            self,
+            Fault::StopRouter(_)
+                | Fault::ReloadSettings(_)
+                | Fault::PublishConfiguration
+                | Fault::ReplaceReplica(..)
+                | Fault::RestReplica(_)
+                | Fault::EvacuateZone(_)
+        )
+    }
+
+    /// Returns the name of the target on which the fault acts; only one fault at a time is active
+    /// for a target. A new configuration and a compaction of the store share the target `operator`.
+    pub(super) fn target(self) -> String {
+        match self {
+            Fault::StopRouter(router)
+            | Fault::ReloadSettings(router)
+            | Fault::KillRouter(router)
+            | Fault::SuspendRouter(router) => router_target(router),
+            Fault::ReplaceReplica(replica, _)
+            | Fault::RestReplica(replica)
+            | Fault::CorruptEntry(replica)
+            | Fault::RestartReplica(replica)
+            | Fault::DegradeReplica(replica, _) => format!("replica-{replica}"),
+            Fault::EvacuateZone(zone) => format!("zone-{}", ZONES[zone]),
+            Fault::PublishConfiguration | Fault::CompactStore => "operator".to_owned(),
+            Fault::DisruptStore(_) => "store".to_owned(),
+            Fault::CutFromReplicas(..) => "links".to_owned(),
+            Fault::FreezeLink(link, ..)
+            | Fault::DelayLink(link, _)
+            | Fault::RefuseConnects(link)
+            | Fault::CutConnections(link)
+            | Fault::StallConnections(link) => format!("{link:?}"),
+        }
+    }
+
+    /// Returns how long the fault lasts, drawn at random for some faults.
+    pub(super) fn duration(self, random: &mut Pcg32) -> Duration {
+        match self {
+            Fault::StopRouter(_) => STOP_GRACE,
+            Fault::ReplaceReplica(..) => DRAINING_BOUND + Duration::from_millis(1_500),
+            Fault::RestReplica(_) => 2 * REST,
+            Fault::EvacuateZone(_) => {
+                EVACUATION_BOUND + Duration::from_millis(random.random_range(500..2_500))
+            }
+            Fault::CutFromReplicas(..) => {
+                Duration::from_millis(random.random_range(5_000..MAX_CUT_MS))
+            }
+            Fault::ReloadSettings(_)
+            | Fault::PublishConfiguration
+            | Fault::CompactStore
+            | Fault::CutConnections(_) => LOOP_INTERVAL,
+            Fault::CorruptEntry(_) => Duration::from_millis(1_200),
+            Fault::RestartReplica(_) => Duration::from_millis(300),
+            Fault::StallConnections(_) => STALL_DURATION,
+            Fault::KillRouter(_) => Duration::from_millis(random.random_range(100..MAX_DOWN_MS)),
+            _ => Duration::from_millis(random.random_range(300..4_000)),
+        }
+    }
+}
+
+pub(super) fn router_target(router: usize) -> String {
+    format!("router-{router}")
+}
--- a/teaselworks_standin/src/soak/fleet.rs
+++ b/teaselworks_standin/src/soak/fleet.rs
@@ -1,6 +1,7 @@
 //! The fleet of a soak: a store, replicas and router processes. Routers reach the store and the
 //! replicas through proxies that inject faults.
 
+use std::cell::Cell;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -10,7 +11,7 @@
 use nix::sys::signal::Signal;
 use serde_json::json;
 
-use super::record::{Bug, Recorder};
+use super::record::{Bug, ColdSpan, EvacuationSpan, Recorder};
 use crate::configuration::{ARCHIVE_SERVICE, CHAT_SERVICE, TestConfiguration, upstream_entry};
 use crate::links::ReplicaLinks;
 use crate::proxy::{Proxy, ProxyFaults};
@@ -32,6 +33,18 @@
 pub(super) const RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// Time after which a draining replica gets no new requests.
 pub(super) const DRAINING_BOUND: Duration = Duration::from_secs(2);
+/// Availability zones of the replicas.
+pub(super) const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Time after which replicas of an evacuated zone get no new requests.
+pub(super) const EVACUATION_BOUND: Duration = Duration::from_secs(2);
+/// Time for which a replica is cold.
+pub(super) const COLD_TIME: Duration = Duration::from_secs(2);
+/// Requests per second that a cold replica bears.
+const COLD_REQUESTS_PER_S: u32 = 6;
+/// Number of requests within a second that may reach a cold replica: one and a half times what it
+/// bears, and three.
+pub(super) const MAX_COLD_REQUESTS: usize = 12;
+
 /// Time for which a router that was told to stop may finish its requests.
 pub(super) const STOP_GRACE: Duration = Duration::from_secs(8);
 
@@ -81,12 +94,20 @@
     pub(super) upstream: Upstream,
     pub(super) proxy: Proxy,
     pub(super) service: &'static str,
+    zone: &'static str,
+    /// Time until which the replica is cold, by the clock of the [`Recorder`].
+    cold_until: Cell<Duration>,
     mode: Arc<Mutex<ReplicaMode>>,
 }
 
 impl Replica {
     /// Starts a replica that records the requests that reach it.
-    fn start(id: &str, service: &'static str, recorder: &Arc<Recorder>) -> std::io::Result<Self> {
+    fn start(
+        id: &str,
+        service: &'static str,
+        zone: &'static str,
+        recorder: &Arc<Recorder>,
+    ) -> std::io::Result<Self> {
         let mode = Arc::new(Mutex::new(ReplicaMode::default()));
         let (current, recorder, name) = (mode.clone(), recorder.clone(), id.to_owned());
         let upstream = Upstream::start(id, move |req| {
@@ -97,7 +118,7 @@
             script
         })?;
         let proxy = Proxy::start(upstream.address())?;
-        Ok(Self { upstream, proxy, service, mode })
+        Ok(Self { upstream, proxy, service, zone, cold_until: Cell::default(), mode })
     }
 
     /// Changes how the replica responds to requests that arrive from now on.
@@ -223,6 +244,9 @@
             recorder: recorder.clone(),
             started_replicas: 0,
         };
+        for service in fleet.configuration.value["services"].as_array_mut().into_iter().flatten() {
+            service["cold_per_s"] = json!(COLD_REQUESTS_PER_S);
+        }
         fleet.publish_next_version();
         for service in [ARCHIVE_SERVICE, CHAT_SERVICE] {
             for _ in 0..REPLICAS_PER_SERVICE {
@@ -233,6 +257,8 @@
             "retry_ratio": RETRY_RATIO, "retry_slack": RETRY_SLACK,
             "retry_window_s": RETRY_WINDOW.as_secs(),
             "draining_ms": DRAINING_BOUND.as_millis() as u64,
+            "evacuation_ms": EVACUATION_BOUND.as_millis() as u64,
+            "cold_overshoot": 1.5, "cold_slack": 3,
             "stop_grace_s": STOP_GRACE.as_secs(),
         });
         for number in 0..routers {
@@ -273,7 +299,8 @@
     pub(super) fn add_replica(&mut self, service: &'static str) -> std::io::Result<()> {
         self.started_replicas += 1;
         let id = format!("{service}-{}", self.started_replicas);
-        let replica = Replica::start(&id, service, &self.recorder)?;
+        let zone = ZONES[self.started_replicas % ZONES.len()];
+        let replica = Replica::start(&id, service, zone, &self.recorder)?;
         for router in &mut self.routers {
             router.links.add(replica.proxy.address())?;
         }
@@ -284,8 +311,11 @@
 
     /// Writes a replica's entry to the store.
     pub(super) fn put_entry(&self, replica: &Replica, state: &str) {
-        let entry =
+        let mut entry =
             upstream_entry(&replica.upstream, replica.proxy.address(), replica.service, state);
+        let cold_remaining = replica.cold_until.get().saturating_sub(self.recorder.now());
+        entry["zone"] = json!(replica.zone);
+        entry["cold_remaining_ms"] = json!(cold_remaining.as_millis() as u64);
         self.store.put_json(&format!("servers/{}", replica.upstream.id), &entry);
     }
 
@@ -294,6 +324,39 @@
         self.store.remove(&format!("servers/{id}"));
     }
 
+    /// Evacuates a zone. To simulate the bug, only the record says so.
+    pub(super) fn evacuate_zone(&self, zone: &'static str, recorder: &Recorder) {
+        if recorder.simulated_bug != Some(Bug::RequestsAfterEvacuation) {
+            self.store.put_json(&format!("op/evacuate/{zone}"), &json!({}));
+        }
+        let in_zone = self.replicas.iter().filter(|replica| replica.zone == zone);
+        let upstreams = in_zone.map(|replica| replica.upstream.id.clone()).collect();
+        let from = recorder.now();
+        let span = EvacuationSpan { zone, upstreams, from, to: None };
+        recorder.observations().evacuations.push(span);
+    }
+
+    /// Takes a zone back, whose replicas are cold since just before. To simulate the bug, only the
+    /// record says that they are.
+    pub(super) fn take_zone_back(&self, zone: &'static str, recorder: &Recorder) {
+        let from = recorder.now();
+        for replica in self.replicas.iter().filter(|replica| replica.zone == zone) {
+            let upstream = replica.upstream.id.clone();
+            let span = ColdSpan { upstream, from, to: from + COLD_TIME };
+            recorder.observations().cold_spans.push(span);
+            if recorder.simulated_bug != Some(Bug::ColdOverload) {
+                replica.cold_until.set(from + COLD_TIME);
+                self.put_entry(replica, "ready");
+            }
+        }
+        for span in &mut recorder.observations().evacuations {
+            if span.zone == zone && span.to.is_none() {
+                span.to = Some(from);
+            }
+        }
+        self.store.remove(&format!("op/evacuate/{zone}"));
+    }
+
     /// Ends every fault that still lasts: restores the store, the replicas and the proxies, cuts
     /// all connections through the proxies, resumes suspended routers, and waits until every router
     /// is ready.
--- a/teaselworks_standin/src/soak/mod.rs
+++ b/teaselworks_standin/src/soak/mod.rs
@@ -3,10 +3,12 @@
 
 mod callers;
 mod checks;
+mod fault;
 mod faults;
 mod fleet;
 mod link_checks;
 mod record;
+mod zone_checks;
 
 use std::error::Error;
 use std::fmt;
--- a/teaselworks_standin/src/soak/record.rs
+++ b/teaselworks_standin/src/soak/record.rs
@@ -33,11 +33,15 @@
     RequestsInRest,
     /// A replica gets requests from a router that knows it is leaving.
     RequestsWhileLeaving,
+    /// Replicas of an evacuated zone get requests.
+    RequestsAfterEvacuation,
+    /// A cold replica gets as many requests as any other.
+    ColdOverload,
 }
 
 impl Bug {
     /// Every bug that can be simulated.
-    pub const ALL: [Bug; 13] = [
+    pub const ALL: [Bug; 15] = [
         Bug::RunsTwice,
         Bug::RunsAfterRefusal,
         Bug::ForeignResponse,
@@ -51,6 +55,8 @@
         Bug::RefusalsByCutRouter,
         Bug::RequestsInRest,
         Bug::RequestsWhileLeaving,
+        Bug::RequestsAfterEvacuation,
+        Bug::ColdOverload,
     ];
 
     /// Returns the guarantee that it violates, as [`Violation::guarantee`] names it.
@@ -70,6 +76,8 @@
             Bug::RefusalsByCutRouter => "callers of cut routers are served",
             Bug::RequestsInRest => "no requests to resting replicas",
             Bug::RequestsWhileLeaving => "no requests to replicas known to leave",
+            Bug::RequestsAfterEvacuation => "no requests to evacuated zones",
+            Bug::ColdOverload => "cold replicas are not overloaded",
         }
     }
 }
@@ -184,6 +192,25 @@
     pub(super) span: usize,
 }
 
+/// Time during which a zone was evacuated.
+#[derive(Clone, Debug)]
+pub(super) struct EvacuationSpan {
+    pub(super) zone: &'static str,
+    /// Replicas that were in the zone when the evacuation began.
+    pub(super) upstreams: Vec<String>,
+    pub(super) from: Duration,
+    /// When it ended; `None` while the zone is evacuated.
+    pub(super) to: Option<Duration>,
+}
+
+/// Time during which a replica was cold, as its entry said.
+#[derive(Clone, Debug)]
+pub(super) struct ColdSpan {
+    pub(super) upstream: String,
+    pub(super) from: Duration,
+    pub(super) to: Duration,
+}
+
 /// Everything that was observed, in the order in which it was recorded.
 #[derive(Debug, Default)]
 pub(super) struct Observations {
@@ -197,6 +224,10 @@
     pub(super) leaving_since: Vec<(String, Duration)>,
     /// Times during which some routers were cut off from all replicas.
     pub(super) partitions: Vec<PartitionSpan>,
+    /// Times during which zones were evacuated.
+    pub(super) evacuations: Vec<EvacuationSpan>,
+    /// Times during which replicas were cold.
+    pub(super) cold_spans: Vec<ColdSpan>,
     /// Routers whose process exited although no fault ended it, and when that was noticed.
     pub(super) unexpected_exits: Vec<(usize, Duration)>,
 }
