An entry by which a replica is cold again is a change even if it equals the last one

Cause, by the router's log: the zone was taken back twice; the second entry stated the same remaining time as the first, which was the last one that this router had read, so that the list dropped it as unchanged, while the end of the evacuation was in force. A router that misses the entries in between (lost history, a cut) meets the same.

Change: an entry with a remaining cold time is never dropped as unchanged. Re-reading it prolongs the time that a replica counts as cold, which is the safe side.

--- a/teaselworks_policy/src/upstream/registry.rs
+++ b/teaselworks_policy/src/upstream/registry.rs
@@ -131,7 +131,8 @@
         let is_same = before.is_some_and(|entry| {
             entry.upstream == upstream && entry.missing_until.is_none() && !entry.is_suspended
         });
-        if is_same {
+        // The time for which a replica is cold counts from each write of its entry.
+        if is_same && upstream.cold_remaining.is_zero() {
             return None;
         }
         let entry = Entry { upstream: upstream.clone(), missing_until: None, is_suspended: false };
--- a/teaselworks_policy/tests/registry.rs
+++ b/teaselworks_policy/tests/registry.rs
@@ -138,3 +138,13 @@
     registry.put(started("i-1", 1_000));
     assert_eq!(registry.put(upstream("i-1")), Some(Change::Suspended("i-1".into())));
 }
+
+/// Guards against a replica that is taken for warm, because the entry by which it is cold again
+/// equals the last one that was read.
+#[test]
+fn an_equal_entry_of_a_cold_replica_is_a_change() {
+    let mut registry = Registry::new();
+    let cold = Upstream { cold_remaining: Duration::from_secs(3), ..upstream("i-1") };
+    registry.put(cold.clone());
+    assert_eq!(registry.put(cold.clone()), Some(Change::Serving(cold)));
+}
