Routers that share load reports admit one request a slot

A burst of 8x on the shifted deployment: engines have 64 slots, and the fleet admitted 1.2 requests a slot and one more for each of 91 routers.

Change: 1.0 requests a slot over all routers.

Fleets whose routers all read the store share no reports and are as before.

--- a/teaselworks_policy/src/upstream/slot_share.rs
+++ b/teaselworks_policy/src/upstream/slot_share.rs
@@ -14,7 +14,7 @@
 const NEARLY_FULL_SHARE: f64 = 0.9;
 /// Requests per slot, over all routers together, up to which requests are admitted. It is above 1
 /// so that a request waits for the next free slot rather than a slot for the next request.
-const REQUESTS_PER_SLOT: f64 = 1.2;
+const REQUESTS_PER_SLOT: f64 = 1.0;
 /// Time constant of the mean that stands for this router's requests at the time of the reports.
 const RECENT_TIME_CONSTANT: Duration = Duration::from_secs(1);
 /// Time constant of the means from which this router's share is computed. It is longer than the
