A router whose lease ended settles anew, and X-Cold-Start-Ms is read from answers

A router that was cut off from the store for longer than its lease, and registers again, counted itself among a cold replica's routers at once, since its own stale list still held its name, while the others had chosen another one: after a cut of a third of the fleet several of ten could do so together.

Change: only the first registration of a process may rely on its name being listed; after a lapse a router waits the two seconds in which the others learn of it.

Test with real processes: no request to it while it says so. The test of placement at cold replicas has a file of its own.

--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -76,4 +76,5 @@
     LINK_RESTORED = 910 Info "link_restored" "A connection to a replica of a service could be opened again.";
     UPSTREAM_LEAVING = 911 Info "upstream_leaving" "An upstream said with an answer that it is leaving and gets no new requests, whatever its entry says.";
     SERVICE_BRITTLE = 912 Warn "service_brittle" "The replicas of a service say that one which rejects more requests than this within a second falls over; for as long as they say so, requests do not wait there, and a replica that rejects one gets none for a while.";
+    UPSTREAM_COLD = 913 Info "upstream_cold" "An upstream said with an answer that it is cold, which was not known before; the field gives the time that remains.";
 }
--- a/teaselworks/src/platform/headers.rs
+++ b/teaselworks/src/platform/headers.rs
@@ -36,6 +36,8 @@
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Number of requests that the replica can reject within a second without falling over.
 const SERVER_BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
+/// Time for which the replica is still cold, in milliseconds.
+const COLD_REMAINING: HeaderName = HeaderName::from_static("x-cold-start-ms");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Headers that apply to a single connection and are never forwarded.
@@ -286,6 +288,8 @@
     pub is_leaving: bool,
     /// The upstream is brittle: it falls over if it rejects more requests than this within a second.
     pub max_rejections: Option<u32>,
+    /// Time for which the upstream says it is still cold.
+    pub cold_remaining: Option<Duration>,
     /// Identifier of the upstream that answered, if stated.
     pub upstream_id: Option<Box<str>>,
     /// Time for which an upstream that rejected a request wants no other one from this router.
@@ -315,6 +319,7 @@
         is_leaving: single_value(headers, &SERVER_LEAVING) == Some("1"),
         max_rejections: single_value(headers, &SERVER_BRITTLE)
             .and_then(|value| value.trim().parse().ok()),
+        cold_remaining: single_value(headers, &COLD_REMAINING).and_then(parse_milliseconds),
         upstream_id: single_value(headers, &INSTANCE_ID).map(Box::from),
         rest: (status == SERVICE_UNAVAILABLE)
             .then(|| single_value(headers, &header::RETRY_AFTER).and_then(parse_seconds))
--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -228,6 +228,9 @@
         if let Some(id) = id.filter(|_| metadata.is_leaving) {
             self.shared.on_leaving(service, id);
         }
+        if let (Some(id), Some(remaining)) = (id, metadata.cold_remaining) {
+            self.shared.on_cold(service, id, remaining);
+        }
         if let Some(max_rejections) = metadata.max_rejections {
             self.shared.on_brittle(service, max_rejections);
         }
--- a/teaselworks/src/relay/shared.rs
+++ b/teaselworks/src/relay/shared.rs
@@ -185,6 +185,17 @@
             .log(&[event::text("upstream", &id), event::text("service", service)]);
     }
 
+    /// Records that a replica has said with an answer for how long it is still cold.
+    pub(super) fn on_cold(&self, service: &Arc<str>, id: &str, remaining: Duration) {
+        if self.fleet().on_cold(self.now(), service, id, remaining) {
+            event::UPSTREAM_COLD.log(&[
+                event::text("upstream", &id),
+                event::text("service", service),
+                event::number("remaining_ms", remaining.as_millis() as u64),
+            ]);
+        }
+    }
+
     /// Records that the replicas of a service say they are brittle.
     pub(super) fn on_brittle(&self, service: &Arc<str>, max_rejections: u32) {
         if self.fleet().on_brittle(self.now(), service, max_rejections) {
--- a/teaselworks/tests/cold_replicas.rs
+++ b/teaselworks/tests/cold_replicas.rs
@@ -14,7 +14,7 @@
     ARCHIVE_SERVICE, CHAT_SERVICE, TestConfiguration, upstream_entry,
 };
 use teaselworks_standin::fleet::{Fleet, wait_until};
-use teaselworks_standin::upstream::Upstream;
+use teaselworks_standin::upstream::{Script, Upstream};
 
 /// Requests per second that a cold replica bears.
 const COLD_PER_S: f64 = 8.0;
@@ -123,3 +123,24 @@
         assert!(refused[0]["retry_after_ms"].as_u64() > Some(0), "{refused:?}");
     }
 }
+
+/// Guards against requests to a replica that says with its answers that it is cold, while its entry
+/// says nothing of it.
+#[tokio::test]
+async fn a_replica_that_says_with_an_answer_that_it_is_cold_is_passed_over() {
+    let fleet = fleet(1).await;
+    let archive = &fleet.archives[0];
+    archive.set_behaviour(|req| {
+        Script::response(req, 200, "a verse").with_header("x-cold-start-ms: 60000")
+    });
+    wait_until("the replica has answered", async || {
+        call(fleet.routers[0].callers_address(), &lookup_or_chat(false)).await.unwrap();
+        !archive.received_requests().is_empty()
+    })
+    .await
+    .unwrap();
+    fleet.routers[0].wait_for_events("upstream_cold", 1).await.unwrap();
+    let before = archive.received_requests().len();
+    assert!(load(&fleet, false).await.iter().all(|status| *status == 200));
+    assert_eq!(archive.received_requests().len(), before);
+}
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -401,6 +401,12 @@
         self.pools.get_mut(service).is_some_and(|pool| pool.on_leaving(id))
     }
 
+    /// Records that a replica has said with an answer for how long it is still cold. Returns whether
+    /// it was not known to be cold.
+    pub fn on_cold(&mut self, now: Duration, service: &str, id: &str, remaining: Duration) -> bool {
+        self.pools.get_mut(service).is_some_and(|pool| pool.on_cold(now, id, remaining))
+    }
+
     /// Records that the replicas of a service say they are brittle: one that has to reject more than
     /// `max_rejections` requests within a second falls over. Returns whether that was not known
     /// before.
--- a/teaselworks_policy/src/membership.rs
+++ b/teaselworks_policy/src/membership.rs
@@ -139,7 +139,8 @@
         let settled_at = match self.registration {
             Some(registration) if sent_at < registration.valid_until => registration.settled_at,
             // The entry of an earlier process of this name still exists.
-            _ if self.peers.get(&self.own_name).is_some_and(is_listed) => sent_at,
+            None if self.peers.get(&self.own_name).is_some_and(is_listed) => sent_at,
+            // The entry may have expired, which a router that was cut off does not know.
             _ => sent_at.saturating_add(SETTLING_TIME),
         };
         self.registration = Some(Registration { settled_at, valid_until });
--- a/teaselworks_policy/src/placement/scan.rs
+++ b/teaselworks_policy/src/placement/scan.rs
@@ -1,9 +1,9 @@
 //! Collects the load totals of a service's replicas and the first replicas in a key's order.
 //!
 //! A replica is eligible if it takes requests, is not cold and was not tried for the request,
-//! whatever its health. It is usable if it is neither ejected nor being probed. The candidates are the replicas
-//! that the request may be sent to: those that are eligible and usable, or all eligible ones if too
-//! few of these are usable.
+//! whatever its health. It is usable if it is neither ejected nor being probed. The candidates are
+//! the replicas that the request may be sent to: those that are eligible and usable, or all eligible
+//! ones if too few of these are usable.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -226,17 +226,21 @@
         }
     }
 
+    /// Records for how long a replica is still cold, as it says with an answer. Returns whether it
+    /// was not known to be cold.
+    pub fn on_cold(&mut self, now: Duration, id: &str, remaining: Duration) -> bool {
+        let Some(member) = self.find_mut(id) else { return false };
+        let was_cold = member.cold.remaining(now).is_some();
+        member.cold.set_remaining(now, remaining);
+        !was_cold && !remaining.is_zero()
+    }
+
     /// Returns the time for which a replica is still cold; `None` if it is not cold, or if cold
     /// replicas of the service are like others.
     pub fn cold_remaining(&self, now: Duration, member: &Member) -> Option<Duration> {
         self.cold_bound.and_then(|_| member.cold.remaining(now))
     }
 
-    /// Returns the number of replicas that are cold.
-    pub fn cold_count(&self, now: Duration) -> usize {
-        self.members.iter().filter(|member| self.cold_remaining(now, member).is_some()).count()
-    }
-
     /// Updates how many requests this router may send to each cold replica, unless that was done
     /// lately.
     pub fn update_cold_shares(&mut self, now: Duration, membership: &Membership) {
