--- a/teaselworks_standin/src/soak/callers.rs
+++ b/teaselworks_standin/src/soak/callers.rs
@@ -143,7 +143,7 @@
         let mut is_own = status != 200 || matches_request(reply, kind, id);
         let mut text = reply.text();
         match self.recorder.simulated_bug {
-            Some(Bug::ForeignResponse) => is_own &= !self.request_count.is_multiple_of(50),
+            Some(Bug::ForeignResponse) => is_own &= !self.request_count.is_multiple_of(5),
             Some(Bug::TruncatedResponse) if status == 200 => text.truncate(text.len() / 2),
             _ => {}
         }
