A simulated cold overload shows also in a slow soak

Cause, traced: the bug records warm replicas as cold, and the check then needs more than twelve requests within a second at one of them; 409 requests in 12 s at six replicas are six a second. Each arrival is recorded thirteen times now, as those of ExcessiveRetries are eight times, so that one arrival in a cold time is enough. No check is changed.

--- a/teaselworks_standin/src/soak/record.rs
+++ b/teaselworks_standin/src/soak/record.rs
@@ -4,6 +4,8 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use super::fleet::MAX_COLD_REQUESTS;
+
 /// A bug that a soak simulates, to test that the check of the guarantee it violates reports it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Bug {
@@ -276,12 +278,13 @@
         let copies = match self.simulated_bug {
             Some(Bug::RunsTwice) => 2,
             Some(Bug::ExcessiveRetries) => 8,
+            Some(Bug::ColdOverload) => MAX_COLD_REQUESTS + 1,
             _ => 1,
         };
         let mut observations = self.observations();
         for copy in 0..copies {
-            // The copies of excessive retries have not run, so that they violate the retry budget
-            // and not the limit on runs.
+            // The copies of excessive retries and of a cold overload have not run, so that they do
+            // not violate the limit on runs.
             let has_run = has_run && (copy == 0 || self.simulated_bug == Some(Bug::RunsTwice));
             observations.arrivals.push(Arrival { has_run, ..arrival.clone() });
         }
