--- /dev/null
+++ b/teaselworks_policy/src/shares/mod.rs
@@ -0,0 +1,9 @@
+//! Divides the slots of an overloaded service between ranks and workspaces, over all routers.
+
+mod admission;
+mod class;
+mod offered_row;
+
+pub use self::admission::Admission;
+pub use self::class::{Class, WorkspaceKey};
+pub use self::offered_row::{OfferedRow, RankLoad, Totals};
