--- a/teaselworks/src/daemon/reload.rs
+++ b/teaselworks/src/daemon/reload.rs
@@ -77,7 +77,7 @@
 /// Applies the settings that can change while the router runs.
 fn apply(shared: &Shared, settings: &Settings) {
     let mut fleet = shared.fleet();
-    fleet.set_settings(fleet_settings(&settings.bounds));
+    fleet.set_settings(fleet_settings(settings));
     fleet.membership.set_seeds(settings.seeds.clone());
 }
 
--- a/teaselworks/src/daemon/services.rs
+++ b/teaselworks/src/daemon/services.rs
@@ -7,13 +7,14 @@
 use teaselworks_policy::fleet::{Fleet, FleetSettings};
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::retry::BudgetSettings;
+use teaselworks_policy::shares::SharesSettings;
 use teaselworks_policy::upstream::ColdSettings;
 
 use crate::discovery::{StateUpdater, StoreCache};
 use crate::kernel::{ServiceError, ServiceName, ServiceRegistry, Shutdown};
 use crate::metrics::Metrics;
 use crate::relay::Shared;
-use crate::settings::{BoundSettings, Settings};
+use crate::settings::Settings;
 
 /// State that all requests share.
 pub(super) const SHARED: ServiceName<Shared> = ServiceName::new("shared");
@@ -34,7 +35,7 @@
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
     let name = settings.router.name.clone();
     let membership = Membership::new(name, settings.seeds.clone());
-    let fleet = Fleet::new(fleet_settings(&settings.bounds), membership, random_seed());
+    let fleet = Fleet::new(fleet_settings(settings), membership, random_seed());
     let zone = settings.router.zone.clone();
     let shared = Arc::new(Shared::new(clock, metrics.clone(), shutdown.clone(), zone, fleet));
     let cache = Arc::new(StoreCache::default());
@@ -51,8 +52,9 @@
     rand::rng().random()
 }
 
-/// Converts the bounds of the settings to those of the routing decisions.
-pub(super) fn fleet_settings(bounds: &BoundSettings) -> FleetSettings {
+/// Converts the settings to those of the routing decisions.
+pub(super) fn fleet_settings(settings: &Settings) -> FleetSettings {
+    let Settings { bounds, admission, .. } = settings;
     FleetSettings {
         load_factor: bounds.load_factor,
         cold: ColdSettings { overshoot: bounds.cold_overshoot, slack: bounds.cold_slack },
@@ -61,6 +63,10 @@
             slack: bounds.retry_slack,
             window: std::time::Duration::from_secs_f64(bounds.retry_window_s),
         },
+        shares: SharesSettings {
+            by_priority: admission.by_priority,
+            workspace_shares: admission.workspace_shares,
+        },
         max_staleness: bounds.max_staleness(),
     }
 }
--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -13,6 +13,8 @@
 use hyper::body::Incoming;
 use teaselworks_policy::configuration::{Configuration, RequestLimits, Route, Workspace};
 use teaselworks_policy::deadline::Deadline;
+use teaselworks_policy::placement::Prompt;
+use teaselworks_policy::shares::Class;
 use teaselworks_policy::verdict::RefusalReason;
 
 use super::body::{self, BodyError, OutgoingBody};
@@ -29,6 +31,8 @@
     pub(super) service: Arc<str>,
     pub(super) workspace: Option<Arc<Workspace>>,
     pub(super) deadline: Deadline,
+    /// Class by which an overloaded service is divided.
+    pub(super) class: Class,
     /// Whether the caller probably repeats a request that was refused before: the deadline it sent
     /// is clearly shorter than usual for the route. [`check`] leaves this false; `serve` sets it.
     pub(super) is_late: bool,
@@ -41,8 +45,12 @@
     /// Returns the priority of the request: that of its workspace if it has one, otherwise that of
     /// its route.
     pub(super) fn priority(&self) -> u8 {
-        let workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
-        workspace.unwrap_or(self.route.priority)
+        self.class.rank
+    }
+
+    /// Returns the prompt, if the route carries prompts.
+    pub(super) fn prompt(&self) -> Option<&Prompt> {
+        self.metadata.prompt.as_ref().filter(|_| self.route.has_prompts)
     }
 }
 
@@ -79,12 +87,18 @@
     let headers = copy_headers(&head.headers);
     let method = head.method;
     let is_late = false;
+    let workspace_priority = workspace.as_ref().and_then(|workspace| workspace.priority);
+    let class = Class {
+        rank: workspace_priority.unwrap_or(route.priority),
+        workspace: workspace.as_ref().map(|workspace| workspace.name.clone()),
+    };
     Ok(PreparedRequest {
         metadata,
         route,
         service,
         workspace,
         deadline,
+        class,
         is_late,
         method,
         target,
--- a/teaselworks/src/relay/request_state.rs
+++ b/teaselworks/src/relay/request_state.rs
@@ -10,6 +10,7 @@
 use teaselworks_policy::retry::{
     AttemptHistory, BudgetReading, Decision, Failure, RetryReason, SlackShare, decide_retry,
 };
+use teaselworks_policy::shares::Admission;
 use teaselworks_policy::stream_origin::StreamOrigin;
 use teaselworks_policy::upstream::RequestOutcome;
 use teaselworks_policy::verdict::{Refusal, RefusalReason, Verdict};
@@ -102,12 +103,7 @@
         let now = self.shared.now();
         let deadline = &self.prepared.deadline;
         let request = PlacementRequest {
-            prompt: self
-                .prepared
-                .metadata
-                .prompt
-                .as_ref()
-                .filter(|_| self.prepared.route.has_prompts),
+            prompt: self.prepared.prompt(),
             zone: &self.shared.zone,
             tried: &self.tried,
             version: self.stream_origin.as_ref().map(|origin| &*origin.version),
@@ -115,6 +111,8 @@
             remaining: deadline.remaining(now),
             max_retry_after: deadline.max_retry_after(now),
             is_late: self.prepared.is_late,
+            class: Some(&self.prepared.class),
+            admission: Admission::Normal,
             has_started: self.stream_origin.is_some() || resumed_after.is_some() || self.runs > 0,
         };
         let mut placement = self.shared.fleet().place(now, &self.prepared.service, &request)?;
@@ -156,8 +154,7 @@
     /// Returns the identifiers of the prompt's parts that other requests may share; `None` if the
     /// request has no such part.
     fn shared_part_ids(&self) -> Option<SharedParts> {
-        let prompt = self.prepared.metadata.prompt.as_ref();
-        let parts = prompt.filter(|_| self.prepared.route.has_prompts)?.shared_parts();
+        let parts = self.prepared.prompt()?.shared_parts();
         (!parts.is_empty()).then(|| parts.iter().map(|part| part.id).collect())
     }
 
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use teaselworks_policy::configuration::Kind;
+use teaselworks_policy::fleet::CallerRequest;
 use teaselworks_policy::retry::Failure;
 use teaselworks_policy::stream_origin::StreamOrigin;
 use teaselworks_policy::upstream::RequestOutcome;
@@ -67,12 +68,13 @@
     }
     // The router that the caller sent the request to has counted it already.
     if origin == Origin::Caller {
-        prepared.is_late = shared.fleet().on_request(
-            shared.now(),
-            &prepared.service,
-            &prepared.route,
-            prepared.metadata.deadline,
-        );
+        let request = CallerRequest {
+            route: &prepared.route,
+            class: &prepared.class,
+            prompt: prepared.prompt(),
+            timeout: prepared.metadata.deadline,
+        };
+        prepared.is_late = shared.fleet().on_request(shared.now(), &prepared.service, &request);
     }
     let body = request::read_body(incoming, &prepared.headers, &configuration.limits).await;
     if body.as_ref().is_ok_and(RequestBody::is_buffered) {
--- a/teaselworks/src/settings/mod.rs
+++ b/teaselworks/src/settings/mod.rs
@@ -35,6 +35,9 @@
     /// Time, retry and load bounds for the whole fleet.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// How an overloaded service is divided between callers.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
     /// Format and minimum severity of the log.
     #[serde(default)]
     pub log: LogSettings,
@@ -166,6 +169,16 @@
     }
 }
 
+/// How the slots of an overloaded service are divided between callers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdmissionSettings {
+    /// Whether requests of a more urgent priority are admitted first.
+    pub by_priority: bool,
+    /// Whether each workspace is held to its share.
+    pub workspace_shares: bool,
+}
+
 /// Format and minimum severity of the log.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/teaselworks_model/src/retries/router.rs
+++ b/teaselworks_model/src/retries/router.rs
@@ -9,6 +9,7 @@
 use teaselworks_policy::fleet::{Fleet, FleetSettings};
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::retry::{BudgetSettings, RetryBudget, SlackShare};
+use teaselworks_policy::shares::SharesSettings;
 use teaselworks_policy::upstream::ColdSettings;
 
 use super::RetryBug;
@@ -59,6 +60,7 @@
             load_factor: 2.0,
             cold: ColdSettings { overshoot: 1.0, slack: 0.0 },
             budget,
+            shares: SharesSettings::default(),
             max_staleness: MAX_STALENESS,
         };
         let membership = Membership::new(name(number), Vec::new());
--- a/teaselworks_model/src/router.rs
+++ b/teaselworks_model/src/router.rs
@@ -9,6 +9,7 @@
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::placement::{Placement, PlacementRequest, Prompt, PromptPart};
 use teaselworks_policy::retry::BudgetSettings;
+use teaselworks_policy::shares::{Admission, SharesSettings};
 use teaselworks_policy::upstream::{Change, ColdSettings, Upstream};
 use teaselworks_policy::verdict::Refusal;
 
@@ -37,8 +38,13 @@
         overshoot: cold.overshoot,
         slack: cold.slack,
     });
-    let settings =
-        FleetSettings { load_factor: 2.0, cold, budget, max_staleness: Duration::from_secs(2) };
+    let settings = FleetSettings {
+        load_factor: 2.0,
+        cold,
+        budget,
+        shares: SharesSettings::default(),
+        max_staleness: Duration::from_secs(2),
+    };
     membership.on_registered(Duration::ZERO, Duration::MAX);
     let mut fleet = Fleet::new(settings, membership, seed + u64::from(number));
     fleet.set_configuration(configuration(load));
@@ -146,6 +152,8 @@
         max_retry_after: deadline.max_retry_after(now),
         has_started: false,
         is_late,
+        class: None,
+        admission: Admission::Normal,
     };
     fleet.place(now, SERVICE, &placement_request)
 }
--- a/teaselworks_model/src/run.rs
+++ b/teaselworks_model/src/run.rs
@@ -9,8 +9,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use teaselworks_policy::configuration::Route;
-use teaselworks_policy::fleet::Fleet;
+use teaselworks_policy::fleet::{CallerRequest, Fleet};
 use teaselworks_policy::placement::Placement;
+use teaselworks_policy::shares::Class;
 use teaselworks_policy::upstream::{Incarnation, RequestOutcome};
 
 use self::cold::ColdArrivals;
@@ -226,7 +227,13 @@
                 let remaining = self.requests[request].deadline.saturating_sub(self.now);
                 let fleet = &mut self.routers[router];
                 let route = &self.routes[kind];
-                let is_late = fleet.on_request(self.now, &SERVICE.into(), route, Some(remaining));
+                let request_at_router = CallerRequest {
+                    route,
+                    class: &Class { rank: 0, workspace: None },
+                    prompt: None,
+                    timeout: Some(remaining),
+                };
+                let is_late = fleet.on_request(self.now, &SERVICE.into(), &request_at_router);
                 self.place(request, router, Vec::new(), is_late);
             }
             Event::ReachEngine(request) => self.on_reach_engine(request),
--- a/teaselworks_policy/benches/placement.rs
+++ b/teaselworks_policy/benches/placement.rs
@@ -8,6 +8,7 @@
 use teaselworks_policy::placement::{
     PlacementRequest, PlacementSettings, Prompt, PromptPart, place,
 };
+use teaselworks_policy::shares::Admission;
 use teaselworks_policy::upstream::{Pool, Upstream};
 
 fn pool(replicas: u32) -> Pool {
@@ -35,6 +36,8 @@
             max_retry_after: Duration::from_secs(3),
             has_started: false,
             is_late: false,
+            class: None,
+            admission: Admission::Normal,
         };
         criterion.bench_function(&format!("placement of a prompt, {replicas} replicas"), |bench| {
             bench.iter(|| {
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -4,10 +4,12 @@
 //! observes the load and health of a replica only through its own requests, from the replica's load
 //! reports and from what other routers share.
 
+mod callers;
 mod crashes;
 mod list_age;
 mod retries;
 mod settings;
+mod shares;
 mod streams;
 
 use std::collections::HashMap;
@@ -18,13 +20,14 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
-use crate::configuration::{Configuration, Route};
+use crate::configuration::Configuration;
 use crate::crash::CrashLedger;
 use crate::deadline::DeadlineBaselines;
 use crate::durations::RouteDurations;
 use crate::membership::Membership;
 use crate::placement::{Placement, PlacementRequest, PlacementSettings, Refused, try_place};
 use crate::retry::RetryBudget;
+use crate::shares::{Admission, Shares};
 use crate::stop::{Arrival, StopPlan};
 use crate::stream_origin::StreamOrigins;
 use crate::upstream::{
@@ -33,7 +36,9 @@
 };
 use crate::verdict::{Refusal, RefusalReason};
 
+pub use self::callers::CallerRequest;
 pub use self::settings::FleetSettings;
+pub use self::shares::OwnLoad;
 
 /// Retry-after time for a service without a pool: none of its replicas has been listed yet.
 const NO_POOL_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -48,6 +53,8 @@
     budget: RetryBudget,
     durations: RouteDurations,
     deadlines: DeadlineBaselines,
+    /// Division of overloaded services between ranks and workspaces.
+    shares: Shares,
     random: Pcg32,
     /// How long it takes to open connections to replicas.
     pub connect_times: ConnectTimes,
@@ -76,6 +83,7 @@
             budget: RetryBudget::new(settings.budget),
             durations: RouteDurations::default(),
             deadlines: DeadlineBaselines::default(),
+            shares: Shares::new(settings.shares),
             random: Pcg32::seed_from_u64(seed),
             connect_times: ConnectTimes::default(),
             membership,
@@ -90,6 +98,7 @@
     pub fn set_settings(&mut self, settings: FleetSettings) {
         self.settings = settings;
         self.budget.set_settings(settings.budget);
+        self.shares.set_settings(settings.shares);
         self.update_service_properties();
     }
 
@@ -109,6 +118,7 @@
         }
         self.durations.retain(&configuration.routes);
         self.deadlines.retain(&configuration.routes);
+        self.shares.retain(&configuration);
         self.configuration = Some(Arc::new(configuration));
         self.update_service_properties();
         true
@@ -224,28 +234,6 @@
         self.durations.observe(route, elapsed);
     }
 
-    /// Counts a request for a service. Returns whether its caller is late: it was probably refused
-    /// before and is retrying, because `caller_timeout`, the time for which the caller says it
-    /// waits, is clearly shorter than usual for the route.
-    pub fn on_request(
-        &mut self,
-        now: Duration,
-        service: &Arc<str>,
-        route: &Route,
-        caller_timeout: Option<Duration>,
-    ) -> bool {
-        self.budget.on_request(now, service);
-        let Some(caller_timeout) = caller_timeout else { return false };
-        // A refused caller retries within its timeout. Only if the last refusal was longer ago than
-        // this caller's timeout is the request certainly a first attempt, whose timeout counts for
-        // the baseline.
-        let refused_at = self.pools.get(service).and_then(|pool| pool.schedule.refused_at());
-        if refused_at.is_none_or(|refused_at| now.saturating_sub(refused_at) > caller_timeout) {
-            self.deadlines.observe(route, caller_timeout);
-        }
-        self.deadlines.is_late(route, caller_timeout)
-    }
-
     /// Chooses a replica for a request and counts the request as in progress there, until
     /// [`Fleet::on_attempt_end`] is called.
     pub fn place(
@@ -257,6 +245,8 @@
         if let Some(refusal) = self.blocked_refusal(now, request) {
             return Err(refusal);
         }
+        let admission = self.admit(now, service, request);
+        let request = &PlacementRequest { admission, ..*request };
         let settings = PlacementSettings {
             load_factor: self.settings.load_factor,
             routers: self.membership.live_count(),
@@ -266,7 +256,15 @@
         };
         pool.update_cold_shares(now, &self.membership);
         pool.refresh_versions(now, self.settings.version_settling());
-        let refusal = match try_place(pool, now, request, &settings, &mut self.random) {
+        let placed = match admission {
+            Admission::Refused(reason) => {
+                Err(Refused { refusal: Refusal::not_run(reason, None), service_load: None })
+            }
+            Admission::Normal | Admission::Planned { .. } => {
+                try_place(pool, now, request, &settings, &mut self.random)
+            }
+        };
+        let refusal = match placed {
             Ok(placement) => {
                 pool.on_placed(now, &placement.service_load);
                 pool.begin_request(now, &placement.upstream.incarnation());
--- a/teaselworks_policy/src/fleet/settings.rs
+++ b/teaselworks_policy/src/fleet/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::retry::BudgetSettings;
+use crate::shares::SharesSettings;
 use crate::upstream::ColdSettings;
 
 /// Configurable bounds on load and retries.
@@ -15,6 +16,8 @@
     pub cold: ColdSettings,
     /// Retry budget of all routers together; each router uses its share of it.
     pub budget: BudgetSettings,
+    /// How an overloaded service is divided between callers.
+    pub shares: SharesSettings,
     /// Bound on how far the routers' knowledge of the list of upstreams may lag behind the store.
     pub max_staleness: Duration,
 }
--- /dev/null
+++ b/teaselworks_policy/src/fleet/shares.rs
@@ -0,0 +1,80 @@
+//! Division of overloaded services between ranks and workspaces.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{CallerRequest, Fleet};
+use crate::placement::PlacementRequest;
+use crate::shares::{Admission, OfferedRow, ServiceStatus, Totals};
+
+/// Offered load of one service at this router, for other routers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OwnLoad {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// Offered load by workspace and rank.
+    pub rows: Vec<OfferedRow>,
+    /// Requests of this router in progress.
+    pub in_progress: u32,
+    /// Whether this router takes the service to be overloaded.
+    pub is_overloaded: bool,
+}
+
+impl Fleet {
+    /// Records what a request offers to its service.
+    pub(super) fn on_offered(
+        &mut self,
+        now: Duration,
+        service: &Arc<str>,
+        request: &CallerRequest<'_>,
+        is_returning: bool,
+    ) {
+        let demand = self.estimate_demand(&request.route.name, request.prompt);
+        self.shares.on_request(now, service, request.class, demand, is_returning);
+    }
+
+    /// Decides whether the first attempt of a request may take a slot of a service that may be
+    /// overloaded.
+    pub(super) fn admit(
+        &mut self,
+        now: Duration,
+        service: &str,
+        request: &PlacementRequest<'_>,
+    ) -> Admission {
+        let is_first = !request.has_started && request.tried.is_empty();
+        let Some(class) = request.class.filter(|_| is_first) else { return Admission::Normal };
+        let Some(pool) = self.pools.get_mut(service) else { return Admission::Normal };
+        let capacity_slots = pool.capacity_slots(now);
+        let routers = self.membership.live_count();
+        self.shares.admit(now, service, class, request.is_late, capacity_slots, routers)
+    }
+
+    /// Returns the offered load of each service at this router.
+    pub fn own_loads(&self, now: Duration) -> Vec<OwnLoad> {
+        let mut loads = Vec::new();
+        for (service, pool) in &self.pools {
+            let is_overloaded =
+                self.shares.status(now, service).is_some_and(|status| status.is_overloaded);
+            loads.push(OwnLoad {
+                service: service.clone(),
+                rows: self.shares.own_rows(now, service),
+                in_progress: pool.own_requests(),
+                is_overloaded,
+            });
+        }
+        loads
+    }
+
+    /// Records the offered load of a service over all routers.
+    pub fn set_totals(&mut self, now: Duration, service: &Arc<str>, totals: Totals) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.set_requests_in_progress(now, totals.in_progress, totals.age);
+        }
+        self.shares.set_totals(now, service, totals);
+    }
+
+    /// Returns how a service is divided, for operators.
+    pub fn shares_status(&self, now: Duration, service: &str) -> Option<ServiceStatus> {
+        self.shares.status(now, service)
+    }
+}
--- a/teaselworks_policy/src/placement/admission.rs
+++ b/teaselworks_policy/src/placement/admission.rs
@@ -7,19 +7,24 @@
 
 use super::scan::Scan;
 use super::{PlacementRequest, PlacementSettings};
+use crate::shares::Admission;
 use crate::upstream::{AverageLoad, Member, Pool, brittle_requests_per_slot};
 use crate::verdict::RefusalReason;
 
 /// Share of the target latency that a request may wait for a slot. It is the same for every request
 /// of a service: requests with a smaller share would never be placed under load.
 const MAX_WAIT_SHARE: f64 = 0.15;
+/// Factor on this router's limits for classes of which all requests are admitted at an overloaded
+/// service. Requests of less urgent ranks, which make room for them, still hold slots for a while.
+const URGENT_HEADROOM: f64 = 1.25;
 
 /// Returns the reason to refuse a request whichever replica it would go to, or `None` to admit it.
 ///
 /// While nearly all slots of the service are taken, callers that can still be answered in time have
 /// priority over late callers, which were probably refused before and are retrying. A router that
 /// gets the loads from other routers keeps to its share of the slots, others to their concurrency
-/// limit. A request that has started is always admitted.
+/// limit. A request that has started is always admitted. Where the plan of an overloaded service
+/// admitted the request, it has decided on late callers as well.
 pub(super) fn service_refusal(
     pool: &Pool,
     now: Duration,
@@ -30,13 +35,20 @@
         return None;
     }
     let load = scan.service_load();
-    if load.is_nearly_full() && request.is_late {
-        return Some(RefusalReason::LateCaller);
-    }
+    let headroom = match request.admission {
+        Admission::Planned { is_marginal: false, .. } => URGENT_HEADROOM,
+        Admission::Planned { is_marginal: true, .. } => 1.0,
+        Admission::Normal | Admission::Refused(_) => {
+            if load.is_nearly_full() && request.is_late {
+                return Some(RefusalReason::LateCaller);
+            }
+            1.0
+        }
+    };
     let is_limited = if load.has_shared_reports {
-        pool.is_share_used(&load)
+        pool.is_share_used(&load, headroom)
     } else {
-        pool.is_saturated(now, load.is_nearly_full())
+        pool.is_saturated(now, load.is_nearly_full(), headroom)
     };
     is_limited.then_some(RefusalReason::Limited)
 }
@@ -66,7 +78,12 @@
         .target_latency()
         .map_or(request.remaining, |target_latency| target_latency.mul_f64(MAX_WAIT_SHARE));
     let wait = expected_wait(member, now, average_load, settings);
-    wait.is_some_and(|wait| wait > max_wait.min(request.remaining))
+    // Engines order their queues by priority: less urgent requests are not ahead.
+    let ahead_share = match request.admission {
+        Admission::Planned { ahead_share, .. } => ahead_share,
+        Admission::Normal | Admission::Refused(_) => 1.0,
+    };
+    wait.is_some_and(|wait| wait.mul_f64(ahead_share) > max_wait.min(request.remaining))
 }
 
 /// Returns the expected wait for a slot of the replica. Returns `None` if a slot is free, or if too
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -56,6 +56,7 @@
 /// use std::time::Duration;
 /// use rand::SeedableRng;
 /// use teaselworks_policy::placement::{PlacementRequest, PlacementSettings, place};
+/// use teaselworks_policy::shares::Admission;
 /// use teaselworks_policy::upstream::Pool;
 ///
 /// let request = PlacementRequest {
@@ -68,6 +69,8 @@
 ///     max_retry_after: Duration::from_secs(1),
 ///     has_started: false,
 ///     is_late: false,
+///     class: None,
+///     admission: Admission::Normal,
 /// };
 /// let settings = PlacementSettings { load_factor: 2.0, routers: 1 };
 /// let mut random = rand_pcg::Pcg32::seed_from_u64(1);
--- a/teaselworks_policy/src/placement/request.rs
+++ b/teaselworks_policy/src/placement/request.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::Prompt;
+use crate::shares::{Admission, Class};
 use crate::upstream::{Member, ServiceLoad, Upstream};
 use crate::verdict::Refusal;
 
@@ -43,6 +44,10 @@
     /// Whether the caller was probably refused before and is retrying: its timeout is clearly
     /// shorter than usual for the route.
     pub is_late: bool,
+    /// Class by which an overloaded service is divided; `None` if the request passes that decision.
+    pub class: Option<&'a Class>,
+    /// Decision of the division of an overloaded service on the request.
+    pub admission: Admission,
 }
 
 /// Reason for the choice of a replica.
--- a/teaselworks_policy/src/placement/scan.rs
+++ b/teaselworks_policy/src/placement/scan.rs
@@ -163,10 +163,14 @@
         self.is_home_cold = best_cold_score > self.ranked.scores[0];
         self.known_requests = own + reported;
         self.unreported_count = candidate_count as f64 - weight_sum;
-        // Without any report, every other router is assumed to have as many requests as this one.
+        // Without any report, the other routers have as many requests as they state, or are assumed
+        // to have as many as this one each.
         // With reports, their mean is used instead: under the assumption alone, one request of this
         // router at a replica that has not reported lately would count as one from every router.
-        let assumed = own * f64::from(routers.saturating_sub(1)) / candidate_count.max(1) as f64;
+        let assumed = match self.pool.peer_requests(self.now) {
+            Some(requests) => requests,
+            None => own * f64::from(routers.saturating_sub(1)),
+        } / candidate_count.max(1) as f64;
         self.average_load.own_requests = own / candidate_count.max(1) as f64;
         self.average_load.peer_requests =
             if weight_sum > 0.0 { reported / weight_sum } else { assumed };
--- a/teaselworks_policy/src/upstream/concurrency.rs
+++ b/teaselworks_policy/src/upstream/concurrency.rs
@@ -74,6 +74,11 @@
 
     /// Returns whether another request may be sent while `in_progress` requests are in progress.
     pub fn allows(&self, in_progress: u32) -> bool {
-        self.limit.is_none_or(|limit| f64::from(in_progress) + 1.0 <= limit)
+        self.allows_with_headroom(in_progress, 1.0)
+    }
+
+    /// Returns whether another request may be sent if the limit is multiplied by `headroom`.
+    pub(super) fn allows_with_headroom(&self, in_progress: u32, headroom: f64) -> bool {
+        self.limit.is_none_or(|limit| f64::from(in_progress) + 1.0 <= limit * headroom)
     }
 }
--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -1,5 +1,6 @@
 //! The replicas of one service, with their load and health.
 
+mod capacity;
 mod versions;
 
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 use crate::membership::Membership;
 use crate::placement::{Detours, RetryAfterSchedule};
 
+use self::capacity::{Capacity, PeerRequests};
 use super::{
     Brittleness, ColdBound, ConcurrencyLimit, EjectionChange, EvacuatedZones, Incarnation,
     LinkChange, LoadReport, Member, ObservationIndex, RequestOutcome, ServiceLink, ServiceLoad,
@@ -52,6 +54,10 @@
     versions: VersionHistory,
     /// Clock reading at which the software versions were last recorded.
     versions_at: Option<Duration>,
+    /// Slots that requests of all routers may take, as last computed.
+    capacity: Option<Capacity>,
+    /// Requests that other routers have in progress, as they state.
+    peer_requests: Option<PeerRequests>,
     /// This router's link to the replicas.
     link: ServiceLink,
     /// Schedule of the retries of callers that were refused.
@@ -108,15 +114,16 @@
     /// Returns whether this router has reached its concurrency limit for the service.
     ///
     /// For a service that reports its load, the limit applies only while nearly all slots are taken
-    /// (`is_nearly_full`).
-    pub fn is_saturated(&self, now: Duration, is_nearly_full: bool) -> bool {
+    /// (`is_nearly_full`). The limit is multiplied by `headroom`.
+    pub fn is_saturated(&self, now: Duration, is_nearly_full: bool, headroom: f64) -> bool {
         (is_nearly_full || !self.has_load_reports)
-            && !self.concurrency_limit.allows(self.in_progress(now))
+            && !self.concurrency_limit.allows_with_headroom(self.in_progress(now), headroom)
     }
 
-    /// Returns whether this router has as many requests in progress as its share of the slots.
-    pub fn is_share_used(&self, load: &ServiceLoad) -> bool {
-        !self.slot_share.allows(load)
+    /// Returns whether this router has as many requests in progress as its share of the slots,
+    /// multiplied by `headroom`.
+    pub fn is_share_used(&self, load: &ServiceLoad, headroom: f64) -> bool {
+        !self.slot_share.allows_with_headroom(load, headroom)
     }
 
     /// Records that a request was refused since this router's share of the slots was used.
--- a/teaselworks_policy/src/upstream/slot_share.rs
+++ b/teaselworks_policy/src/upstream/slot_share.rs
@@ -14,7 +14,7 @@
 const NEARLY_FULL_SHARE: f64 = 0.9;
 /// Requests per slot, over all routers together, up to which requests are admitted. It is above 1
 /// so that a request waits for the next free slot rather than a slot for the next request.
-const REQUESTS_PER_SLOT: f64 = 1.0;
+pub(super) const REQUESTS_PER_SLOT: f64 = 1.0;
 /// Time constant of the mean that stands for this router's requests at the time of the reports.
 const RECENT_TIME_CONSTANT: Duration = Duration::from_secs(1);
 /// Time constant of the means from which this router's share is computed. It is longer than the
@@ -151,7 +151,13 @@
     /// assert!(!SlotShare::default().allows(&surge), "the other routers may have as many by now");
     /// ```
     pub fn allows(&self, load: &ServiceLoad) -> bool {
-        load.own_requests + 1.0 <= self.limit(load)
+        self.allows_with_headroom(load, 1.0)
+    }
+
+    /// Returns whether this router may send another request if its limit is multiplied by
+    /// `headroom`.
+    pub(super) fn allows_with_headroom(&self, load: &ServiceLoad, headroom: f64) -> bool {
+        load.own_requests + 1.0 <= self.limit(load) * headroom
     }
 
     /// Returns the number of requests that this router may have in progress: what it had at the
--- a/teaselworks_policy/src/verdict.rs
+++ b/teaselworks_policy/src/verdict.rs
@@ -81,6 +81,10 @@
     /// Nearly all slots of the service are taken, and the caller is late: it states less time than
     /// is usual for the route, so it was probably refused before and is retrying.
     LateCaller,
+    /// The service is overloaded, and requests of a more urgent rank take the slots.
+    Rank,
+    /// The service is overloaded, and the caller's workspace exceeds its share of the slots.
+    WorkspaceShare,
     /// The last attempt could not connect to its upstream or send it the request, and the request
     /// may not be sent to another one.
     Unreachable,
@@ -102,7 +106,7 @@
 
 impl RefusalReason {
     /// All reasons, in the order in which the metrics list them.
-    pub const ALL: [RefusalReason; 21] = [
+    pub const ALL: [RefusalReason; 23] = [
         RefusalReason::NoConfiguration,
         RefusalReason::Malformed,
         RefusalReason::UnknownRoute,
@@ -118,6 +122,8 @@
         RefusalReason::Overloaded,
         RefusalReason::Limited,
         RefusalReason::LateCaller,
+        RefusalReason::Rank,
+        RefusalReason::WorkspaceShare,
         RefusalReason::Unreachable,
         RefusalReason::RetryBudget,
         RefusalReason::Rejected,
@@ -130,7 +136,11 @@
     pub fn is_overload(self) -> bool {
         matches!(
             self,
-            RefusalReason::Overloaded | RefusalReason::Limited | RefusalReason::LateCaller
+            RefusalReason::Overloaded
+                | RefusalReason::Limited
+                | RefusalReason::LateCaller
+                | RefusalReason::Rank
+                | RefusalReason::WorkspaceShare
         )
     }
 
@@ -158,6 +168,8 @@
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::Limited => "limited",
             RefusalReason::LateCaller => "late_caller",
+            RefusalReason::Rank => "rank",
+            RefusalReason::WorkspaceShare => "workspace_share",
             RefusalReason::Unreachable => "unreachable",
             RefusalReason::RetryBudget => "retry_budget",
             RefusalReason::Rejected => "rejected",
@@ -264,6 +276,8 @@
             | RefusalReason::Overloaded
             | RefusalReason::Limited
             | RefusalReason::LateCaller
+            | RefusalReason::Rank
+            | RefusalReason::WorkspaceShare
             | RefusalReason::Unreachable
             | RefusalReason::RetryBudget
             | RefusalReason::Rejected
--- a/teaselworks_policy/tests/cold_placement.rs
+++ b/teaselworks_policy/tests/cold_placement.rs
@@ -8,6 +8,7 @@
 use teaselworks_policy::placement::{
     PlacementReason, PlacementRequest, PlacementSettings, Prompt, PromptPart, place,
 };
+use teaselworks_policy::shares::Admission;
 use teaselworks_policy::upstream::{
     ColdBound, ColdSettings, LoadReport, Pool, RequestOutcome, Upstream,
 };
@@ -43,6 +44,8 @@
         max_retry_after: second,
         has_started: false,
         is_late: false,
+        class: None,
+        admission: Admission::Normal,
     };
     let settings = PlacementSettings { load_factor: 2.0, routers: 1 };
     let mut random = Pcg32::seed_from_u64(7);
--- a/teaselworks_policy/tests/health.rs
+++ b/teaselworks_policy/tests/health.rs
@@ -6,6 +6,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use teaselworks_policy::placement::{PlacementRequest, PlacementSettings, place};
+use teaselworks_policy::shares::Admission;
 use teaselworks_policy::upstream::{Health, Pool, RequestOutcome, Upstream};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -73,6 +74,8 @@
         max_retry_after: SECOND,
         has_started: false,
         is_late: false,
+        class: None,
+        admission: Admission::Normal,
     };
     let settings = PlacementSettings { load_factor: 2.0, routers: 1 };
     let mut random = Pcg32::seed_from_u64(1);
--- a/teaselworks_policy/tests/observations.rs
+++ b/teaselworks_policy/tests/observations.rs
@@ -5,6 +5,7 @@
 use teaselworks_policy::fleet::{Fleet, FleetSettings};
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::retry::BudgetSettings;
+use teaselworks_policy::shares::SharesSettings;
 use teaselworks_policy::upstream::{
     AverageLoad, Change, ColdSettings, Load, LoadReport, RequestOutcome, Upstream,
 };
@@ -17,7 +18,13 @@
     let membership = Membership::new("router".into(), Vec::new());
     let cold = ColdSettings { overshoot: 1.0, slack: 0.0 };
     let mut fleet = Fleet::new(
-        FleetSettings { load_factor: 2.0, cold, budget, max_staleness: Duration::from_secs(2) },
+        FleetSettings {
+            load_factor: 2.0,
+            cold,
+            budget,
+            shares: SharesSettings::default(),
+            max_staleness: Duration::from_secs(2),
+        },
         membership,
         1,
     );
--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -10,6 +10,7 @@
     Placement, PlacementReason, PlacementRequest, PlacementSettings, Prompt, PromptPart,
     hash_upstream_id, place, rendezvous_score,
 };
+use teaselworks_policy::shares::Admission;
 use teaselworks_policy::upstream::{
     Incarnation, LoadReport, ObservationIndex, Pool, RequestOutcome, Upstream,
 };
@@ -56,6 +57,8 @@
         max_retry_after: second,
         has_started: false,
         is_late: false,
+        class: None,
+        admission: Admission::Normal,
     }
 }
 
--- a/teaselworks_policy/tests/retry_after.rs
+++ b/teaselworks_policy/tests/retry_after.rs
@@ -9,6 +9,7 @@
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::placement::{PlacementRequest, RetryAfterSchedule};
 use teaselworks_policy::retry::BudgetSettings;
+use teaselworks_policy::shares::{Admission, SharesSettings};
 use teaselworks_policy::upstream::{Change, ColdSettings, LoadReport, RequestOutcome, Upstream};
 use teaselworks_policy::verdict::RefusalReason;
 
@@ -58,7 +59,13 @@
     let membership = Membership::new("router".into(), Vec::new());
     let cold = ColdSettings { overshoot: 1.0, slack: 0.0 };
     let mut fleet = Fleet::new(
-        FleetSettings { load_factor: 2.0, cold, budget, max_staleness: Duration::from_secs(2) },
+        FleetSettings {
+            load_factor: 2.0,
+            cold,
+            budget,
+            shares: SharesSettings::default(),
+            max_staleness: Duration::from_secs(2),
+        },
         membership,
         1,
     );
@@ -74,6 +81,8 @@
         max_retry_after: SECOND,
         has_started: false,
         is_late: false,
+        class: None,
+        admission: Admission::Normal,
     };
     assert!(fleet.place(SECOND, "service", &request).is_ok());
     let incarnation = upstream.incarnation();
--- a/teaselworks_policy/tests/slack_share.rs
+++ b/teaselworks_policy/tests/slack_share.rs
@@ -5,6 +5,7 @@
 use teaselworks_policy::fleet::{Fleet, FleetSettings};
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::retry::{BudgetSettings, SlackShare};
+use teaselworks_policy::shares::SharesSettings;
 use teaselworks_policy::upstream::ColdSettings;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -24,6 +25,7 @@
         load_factor: 2.0,
         cold: ColdSettings { overshoot: 1.0, slack: 0.0 },
         budget: BudgetSettings { ratio: 0.2, slack: 10.0, window: WINDOW },
+        shares: SharesSettings::default(),
         max_staleness: 2 * SECOND,
     };
     let mut membership = Membership::new("a".into(), Vec::new());
--- a/teaselworks_policy/tests/stream_origins.rs
+++ b/teaselworks_policy/tests/stream_origins.rs
@@ -7,6 +7,7 @@
 use teaselworks_policy::placement::{
     PlacementReason, PlacementRequest, PlacementSettings, Prompt, PromptPart, place,
 };
+use teaselworks_policy::shares::Admission;
 use teaselworks_policy::stream_origin::{StreamOrigin, StreamOrigins};
 use teaselworks_policy::upstream::{ColdBound, ColdSettings, Pool, RequestOutcome, Upstream};
 use teaselworks_policy::verdict::RefusalReason;
@@ -46,6 +47,8 @@
         max_retry_after: second,
         has_started: version.is_some(),
         is_late: false,
+        class: None,
+        admission: Admission::Normal,
     }
 }
 
--- a/teaselworks_policy/tests/versions.rs
+++ b/teaselworks_policy/tests/versions.rs
@@ -7,6 +7,7 @@
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::placement::PlacementRequest;
 use teaselworks_policy::retry::BudgetSettings;
+use teaselworks_policy::shares::{Admission, SharesSettings};
 use teaselworks_policy::upstream::{Change, ColdSettings, Upstream};
 
 const SERVICE: &str = "chat";
@@ -20,7 +21,13 @@
 fn fleet() -> Fleet {
     let cold = ColdSettings { overshoot: 1.0, slack: 0.0 };
     let budget = BudgetSettings { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
-    let settings = FleetSettings { load_factor: 2.0, cold, budget, max_staleness: MAX_STALENESS };
+    let settings = FleetSettings {
+        load_factor: 2.0,
+        cold,
+        budget,
+        shares: SharesSettings::default(),
+        max_staleness: MAX_STALENESS,
+    };
     Fleet::new(settings, Membership::new("a".into(), Vec::new()), 1)
 }
 
@@ -43,6 +50,8 @@
         max_retry_after: second,
         has_started: false,
         is_late: false,
+        class: None,
+        admission: Admission::Normal,
     };
     let placement = fleet.place(now, SERVICE, &request).unwrap();
     placement.upstream.version.clone()
