--- a/teaselworks_policy/src/shares/offered_row.rs
+++ b/teaselworks_policy/src/shares/offered_row.rs
@@ -26,6 +26,13 @@
     pub ranks: Vec<RankLoad>,
 }
 
+impl OfferedRow {
+    /// Returns the load of all ranks, of new and returning callers.
+    pub fn offered_slots(&self) -> f64 {
+        self.ranks.iter().map(|load| load.new + load.returning).sum()
+    }
+}
+
 /// Offered load of a service, summed over routers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Totals {
--- a/teaselworks_policy/src/verdict.rs
+++ b/teaselworks_policy/src/verdict.rs
@@ -74,13 +74,18 @@
     /// router.
     Cold,
     /// The expected wait for a slot at the chosen replica exceeds the share of the target latency
-    /// that a request may wait, or the time left, and no replica with room was found instead.
+    /// that a request may wait, or the time left, and no replica with room was found instead. Or
+    /// the service is overloaded, and requests of the most urgent rank take all its slots.
     Overloaded,
     /// This router has as many requests in progress at the service as its concurrency limit allows.
     Limited,
     /// Nearly all slots of the service are taken, and the caller is late: it states less time than
     /// is usual for the route, so it was probably refused before and is retrying.
     LateCaller,
+    /// The service is overloaded, and requests of a more urgent rank take the slots.
+    Rank,
+    /// The service is overloaded, and the workspace exceeds its share of it.
+    WorkspaceShare,
     /// The last attempt could not connect to its upstream or send it the request, and the request
     /// may not be sent to another one.
     Unreachable,
@@ -102,7 +107,7 @@
 
 impl RefusalReason {
     /// All reasons, in the order in which the metrics list them.
-    pub const ALL: [RefusalReason; 21] = [
+    pub const ALL: [RefusalReason; 23] = [
         RefusalReason::NoConfiguration,
         RefusalReason::Malformed,
         RefusalReason::UnknownRoute,
@@ -118,6 +123,8 @@
         RefusalReason::Overloaded,
         RefusalReason::Limited,
         RefusalReason::LateCaller,
+        RefusalReason::Rank,
+        RefusalReason::WorkspaceShare,
         RefusalReason::Unreachable,
         RefusalReason::RetryBudget,
         RefusalReason::Rejected,
@@ -130,7 +137,11 @@
     pub fn is_overload(self) -> bool {
         matches!(
             self,
-            RefusalReason::Overloaded | RefusalReason::Limited | RefusalReason::LateCaller
+            RefusalReason::Overloaded
+                | RefusalReason::Limited
+                | RefusalReason::LateCaller
+                | RefusalReason::Rank
+                | RefusalReason::WorkspaceShare
         )
     }
 
@@ -158,6 +169,8 @@
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::Limited => "limited",
             RefusalReason::LateCaller => "late_caller",
+            RefusalReason::Rank => "rank",
+            RefusalReason::WorkspaceShare => "workspace_share",
             RefusalReason::Unreachable => "unreachable",
             RefusalReason::RetryBudget => "retry_budget",
             RefusalReason::Rejected => "rejected",
@@ -264,6 +277,8 @@
             | RefusalReason::Overloaded
             | RefusalReason::Limited
             | RefusalReason::LateCaller
+            | RefusalReason::Rank
+            | RefusalReason::WorkspaceShare
             | RefusalReason::Unreachable
             | RefusalReason::RetryBudget
             | RefusalReason::Rejected
