--- a/teaselworks_policy/src/verdict.rs
+++ b/teaselworks_policy/src/verdict.rs
@@ -74,7 +74,8 @@
     /// router.
     Cold,
     /// The expected wait for a slot at the chosen replica exceeds the share of the target latency
-    /// that a request may wait, or the time left, and no replica with room was found instead.
+    /// that a request may wait, or the time left, and no replica with room was found instead. Or
+    /// the service is overloaded, and requests of the most urgent rank take all its slots.
     Overloaded,
     /// This router has as many requests in progress at the service as its concurrency limit allows.
     Limited,
