--- a/teaselworks/src/platform/headers.rs
+++ b/teaselworks/src/platform/headers.rs
@@ -20,6 +20,8 @@
 /// Number of prompt tokens and maximum number of output tokens; not the number of tokens that were
 /// used.
 const TOKEN_USAGE: HeaderName = HeaderName::from_static("x-token-usage");
+/// Number of output tokens that the caller expects.
+const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
 /// Parts of the prompt in order, each as `hexadecimal identifier:number of tokens`.
 const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-prompt-prefix");
 /// Address of a replica from which the upstream may copy cached parts of the prompt.
@@ -171,7 +173,8 @@
     (0.0..=1e9).contains(&ms).then(|| Duration::from_secs_f64(ms / 1e3))
 }
 
-/// Parses the description of a prompt; `None` if it is missing or a number in it is invalid.
+/// Parses the description of a prompt; `None` if it is missing or a number in it is invalid. An
+/// invalid length hint only counts as absent.
 fn parse_prompt(headers: &HeaderMap) -> Option<Prompt> {
     let usage = single_value(headers, &TOKEN_USAGE)?;
     let (input, output) = usage.split_once(',')?;
@@ -185,6 +188,7 @@
         parts,
         input_tokens: input.trim().parse().ok()?,
         output_tokens: output.trim().parse().ok()?,
+        output_hint: single_value(headers, &LENGTH_HINT).and_then(|hint| hint.trim().parse().ok()),
     })
 }
 
--- a/teaselworks/tests/headers.rs
+++ b/teaselworks/tests/headers.rs
@@ -35,6 +35,31 @@
     }
 }
 
+/// Guards against a length hint that is missed, and against a malformed or ambiguous one that counts
+/// or makes the rest of the prompt description count as absent.
+#[test]
+fn length_hint_is_parsed_and_malformed_ones_are_ignored() {
+    let cases: [(&[&str], Option<u32>); 10] = [
+        (&["40"], Some(40)),
+        (&[" 0 "], Some(0)),
+        (&["4294967295"], Some(u32::MAX)),
+        (&[], None),
+        (&[""], None),
+        (&["many"], None),
+        (&["-1"], None),
+        (&["4.5"], None),
+        (&["4294967296"], None),
+        (&["40", "40"], None),
+    ];
+    for (hints, expected) in cases {
+        let mut pairs = vec![("x-request-id", "1"), ("x-token-usage", "1460,80")];
+        pairs.extend(hints.iter().map(|hint| ("x-length-hint", *hint)));
+        let prompt = parse_request_headers(&headers(&pairs)).unwrap().prompt.unwrap();
+        assert_eq!((prompt.input_tokens, prompt.output_tokens), (1_460, 80), "{hints:?}");
+        assert_eq!(prompt.output_hint, expected, "{hints:?}");
+    }
+}
+
 /// Guards against a load or keep-alive timeout that is missed among other numbers and options, and
 /// against flags that are set without their header.
 #[test]
@@ -50,10 +75,10 @@
 proptest! {
     /// Guards against a panic on a header with an unexpected value.
     #[test]
-    fn arbitrary_headers_do_not_panic(values in prop::collection::vec("[ -~]{0,40}", 7)) {
+    fn arbitrary_headers_do_not_panic(values in prop::collection::vec("[ -~]{0,40}", 8)) {
         let names = [
             "x-request-id", "x-deadline-ms", "authorization", "x-token-usage", "x-prompt-prefix",
-            "x-server-load", "keep-alive",
+            "x-server-load", "keep-alive", "x-length-hint",
         ];
         let pairs: Vec<_> = names.into_iter().zip(values.iter().map(String::as_str)).collect();
         let headers = headers(&pairs);
--- a/teaselworks_model/src/router.rs
+++ b/teaselworks_model/src/router.rs
@@ -135,6 +135,7 @@
         parts: parts.map(|(id, tokens)| PromptPart { id, tokens }).to_vec(),
         input_tokens: kind.shared_tokens + kind.own_tokens,
         output_tokens: kind.answer_tokens,
+        output_hint: None,
     };
     let placement_request = PlacementRequest {
         prompt: Some(&prompt).filter(|_| load.placement == PlacementMode::Reuse),
--- a/teaselworks_policy/benches/placement.rs
+++ b/teaselworks_policy/benches/placement.rs
@@ -21,7 +21,7 @@
 fn placement(criterion: &mut Criterion) {
     let settings = PlacementSettings { load_factor: 2.0, routers: 8 };
     let parts = [1, 2, 3].map(|id| PromptPart { id, tokens: 100 }).to_vec();
-    let prompt = Prompt { parts, input_tokens: 300, output_tokens: 100 };
+    let prompt = Prompt { parts, input_tokens: 300, output_tokens: 100, output_hint: None };
     let mut random = rand_pcg::Pcg32::seed_from_u64(1);
     for replicas in [18, 800] {
         let pool = pool(replicas);
--- a/teaselworks_policy/src/placement/prompt.rs
+++ b/teaselworks_policy/src/placement/prompt.rs
@@ -20,6 +20,8 @@
     pub input_tokens: u32,
     /// Maximum length of the answer in tokens.
     pub output_tokens: u32,
+    /// Length of the answer in tokens that the caller expects, if stated. Often far off.
+    pub output_hint: Option<u32>,
 }
 
 impl Prompt {
@@ -29,7 +31,7 @@
     /// use teaselworks_policy::placement::{Prompt, PromptPart};
     ///
     /// let parts = [1, 2, 3].map(|id| PromptPart { id, tokens: 10 }).to_vec();
-    /// let prompt = Prompt { parts, input_tokens: 30, output_tokens: 5 };
+    /// let prompt = Prompt { parts, input_tokens: 30, output_tokens: 5, output_hint: None };
     /// assert_eq!(prompt.shared_parts().len(), 2);
     /// ```
     pub fn shared_parts(&self) -> &[PromptPart] {
@@ -44,7 +46,7 @@
     /// use teaselworks_policy::placement::{Prompt, PromptPart};
     ///
     /// let parts = [1, 2, 3].map(|id| PromptPart { id, tokens: 10 }).to_vec();
-    /// let prompt = Prompt { parts, input_tokens: 30, output_tokens: 5 };
+    /// let prompt = Prompt { parts, input_tokens: 30, output_tokens: 5, output_hint: None };
     /// assert_eq!(prompt.affinity_key(), Some(2));
     /// ```
     pub fn affinity_key(&self) -> Option<u64> {
--- a/teaselworks_policy/tests/cold_placement.rs
+++ b/teaselworks_policy/tests/cold_placement.rs
@@ -32,7 +32,7 @@
     pool.set_cold_bound(Some(ColdBound::new(18.0, &ColdSettings { overshoot: 1.5, slack: 5.0 })));
     pool.set_cold_remaining(NOW, "i-2", second);
     let parts = [1, 10, 11].map(|id| PromptPart { id, tokens: 100 }).to_vec();
-    let prompt = Prompt { parts, input_tokens: 300, output_tokens: 50 };
+    let prompt = Prompt { parts, input_tokens: 300, output_tokens: 50, output_hint: None };
     let request = PlacementRequest {
         prompt: Some(&prompt),
         zone: "a",
--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -40,7 +40,7 @@
 /// Returns a prompt of three parts with the affinity key `key`.
 fn prompt(key: u64) -> Prompt {
     let parts = [1, key, 1_000_000 + key].map(|id| PromptPart { id, tokens: 100 }).to_vec();
-    Prompt { parts, input_tokens: 300, output_tokens: 50 }
+    Prompt { parts, input_tokens: 300, output_tokens: 50, output_hint: None }
 }
 
 fn request(prompt: Option<&Prompt>) -> PlacementRequest<'_> {
--- a/teaselworks_policy/tests/stream_origins.rs
+++ b/teaselworks_policy/tests/stream_origins.rs
@@ -31,7 +31,7 @@
 
 fn prompt(key: u64) -> Prompt {
     let parts = [1, key, 1_000_000 + key].map(|id| PromptPart { id, tokens: 100 }).to_vec();
-    Prompt { parts, input_tokens: 300, output_tokens: 50 }
+    Prompt { parts, input_tokens: 300, output_tokens: 50, output_hint: None }
 }
 
 fn request<'a>(prompt: Option<&'a Prompt>, version: Option<&'a str>) -> PlacementRequest<'a> {
