--- a/teaselworks_policy/src/configuration/routes.rs
+++ b/teaselworks_policy/src/configuration/routes.rs
@@ -64,6 +64,11 @@
         self.target_latencies.get(service).copied()
     }
 
+    /// Returns all routes, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten()
+    }
+
     /// Returns whether the table has a route of the given name.
     pub fn contains_route(&self, name: &str) -> bool {
         self.names.contains(name)
