--- a/teaselworks_policy/src/configuration/workspace.rs
+++ b/teaselworks_policy/src/configuration/workspace.rs
@@ -50,6 +50,12 @@
         self.by_key.get(key)
     }
 
+    /// Returns the names of the workspaces that have API keys; one with several keys occurs more than
+    /// once.
+    pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.by_key.values().map(|workspace| &workspace.name)
+    }
+
     /// Returns whether requests need an API key, unless their route is anonymous.
     pub fn is_key_required(&self) -> bool {
         self.is_key_required
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod crashes;
+mod demand;
 mod list_age;
 mod retries;
 mod settings;
@@ -23,6 +24,7 @@
 use crate::configuration::Configuration;
 use crate::crash::CrashLedger;
 use crate::deadline::DeadlineBaselines;
+use crate::demand::DemandEstimator;
 use crate::durations::RouteDurations;
 use crate::membership::Membership;
 use crate::placement::{Placement, PlacementRequest, PlacementSettings, Refused, try_place};
@@ -53,6 +55,8 @@
     budget: RetryBudget,
     durations: RouteDurations,
     deadlines: DeadlineBaselines,
+    /// Slot time that requests are expected to take.
+    demand: DemandEstimator,
     /// Division of overloaded services between ranks and workspaces.
     shares: Shares,
     random: Pcg32,
@@ -83,6 +87,7 @@
             budget: RetryBudget::new(settings.budget),
             durations: RouteDurations::default(),
             deadlines: DeadlineBaselines::default(),
+            demand: DemandEstimator::default(),
             shares: Shares::new(settings.shares),
             random: Pcg32::seed_from_u64(seed),
             connect_times: ConnectTimes::default(),
@@ -118,7 +123,8 @@
         }
         self.durations.retain(&configuration.routes);
         self.deadlines.retain(&configuration.routes);
-        self.shares.retain(&configuration);
+        self.demand.retain(&configuration.routes);
+        self.retain_shares(&configuration);
         self.configuration = Some(Arc::new(configuration));
         self.update_service_properties();
         true
--- a/teaselworks_policy/src/fleet/shares.rs
+++ b/teaselworks_policy/src/fleet/shares.rs
@@ -1,11 +1,13 @@
 //! Division of overloaded services between ranks and workspaces.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::{CallerRequest, Fleet};
+use crate::configuration::Configuration;
 use crate::placement::PlacementRequest;
-use crate::shares::{Admission, OfferedRow, ServiceStatus, Totals};
+use crate::shares::{Admission, OfferedRow, OverloadChange, ServiceStatus, Totals, WorkspaceKey};
 
 /// Offered load of one service at this router, for other routers.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,6 +23,16 @@
 }
 
 impl Fleet {
+    /// Drops the shares of services and workspaces that a new configuration does not have.
+    pub(super) fn retain_shares(&mut self, configuration: &Configuration) {
+        let workspaces: HashSet<WorkspaceKey> =
+            configuration.workspaces.names().map(|name| WorkspaceKey::of(name)).collect();
+        self.shares.retain(
+            |service| configuration.services.contains_key(service),
+            |workspace| workspaces.contains(&workspace),
+        );
+    }
+
     /// Records what a request offers to its service.
     pub(super) fn on_offered(
         &mut self,
@@ -53,8 +65,7 @@
     pub fn own_loads(&self, now: Duration) -> Vec<OwnLoad> {
         let mut loads = Vec::new();
         for (service, pool) in &self.pools {
-            let is_overloaded =
-                self.shares.status(now, service).is_some_and(|status| status.is_overloaded);
+            let is_overloaded = self.shares.is_overloaded(service);
             loads.push(OwnLoad {
                 service: service.clone(),
                 rows: self.shares.own_rows(now, service),
@@ -73,6 +84,11 @@
         self.shares.set_totals(now, service, totals);
     }
 
+    /// Returns the services that have become overloaded, or no longer are, since the last call.
+    pub fn take_overload_changes(&mut self, now: Duration) -> Vec<OverloadChange> {
+        self.shares.take_overload_changes(now)
+    }
+
     /// Returns how a service is divided, for operators.
     pub fn shares_status(&self, now: Duration, service: &str) -> Option<ServiceStatus> {
         self.shares.status(now, service)
--- a/teaselworks_policy/src/shares/mod.rs
+++ b/teaselworks_policy/src/shares/mod.rs
@@ -50,13 +50,20 @@
     /// let demand = Demand { slot_time: Duration::from_secs(1) };
     /// let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
     /// shares.on_request(now, &"chat".into(), &class, demand, false);
-    /// let admission = shares.admit(now, &"chat".into(), &class, false, 100.0, 1);
+    /// let admission = shares.admit(now, "chat", &class, false, 100.0, 1);
     /// assert_eq!(admission, Admission::Normal);
     /// ```
     pub fn new(settings: SharesSettings) -> Self {
         Self { settings, services: HashMap::new() }
     }
 
+    /// Replaces the settings; what was recorded under others is dropped.
+    pub fn set_settings(&mut self, settings: SharesSettings) {
+        if settings != self.settings {
+            *self = Self::new(settings);
+        }
+    }
+
     /// Records a request of a caller; it counts as offered load whether it is admitted or not.
     pub fn on_request(
         &mut self,
@@ -81,7 +88,7 @@
     pub fn admit(
         &mut self,
         now: Duration,
-        service: &Arc<str>,
+        service: &str,
         class: &Class,
         is_returning: bool,
         capacity_slots: f64,
--- a/teaselworks_policy/tests/concurrency.rs
+++ b/teaselworks_policy/tests/concurrency.rs
@@ -39,7 +39,7 @@
 fn count_allowed_requests(pool: &mut Pool) -> u32 {
     let upstream = Upstream::example("i-0", "plain").incarnation();
     let mut count = 0;
-    while count < 100 && !pool.is_saturated(Duration::ZERO, false) {
+    while count < 100 && !pool.is_saturated(Duration::ZERO, false, 1.0) {
         pool.begin_request(Duration::ZERO, &upstream);
         count += 1;
     }
@@ -93,8 +93,8 @@
     for _ in 0..30 {
         pool.begin_request(now, &upstream);
     }
-    assert!(pool.is_saturated(now, true));
-    assert!(!pool.is_saturated(now, false), "slots are free");
+    assert!(pool.is_saturated(now, true, 1.0));
+    assert!(!pool.is_saturated(now, false, 1.0), "slots are free");
 }
 
 /// Guards against requests at unresponsive replicas that use up the limit, so that requests are
@@ -108,9 +108,9 @@
     for _ in 0..40 {
         pool.begin_request(now, &upstream);
     }
-    assert!(pool.is_saturated(now, true));
+    assert!(pool.is_saturated(now, true, 1.0));
     for _ in 0..2 {
         pool.end_request(now, &upstream, Some(RequestOutcome::NoAnswer), Duration::ZERO);
     }
-    assert!(!pool.is_saturated(now, true));
+    assert!(!pool.is_saturated(now, true, 1.0));
 }
