--- a/teaselworks/src/metrics.rs
+++ b/teaselworks/src/metrics.rs
@@ -18,6 +18,11 @@
 const LATENCY_BOUNDS_MS: [f64; 14] =
     [1.0, 2.0, 5.0, 10.0, 20.0, 40.0, 80.0, 160.0, 320.0, 640.0, 1_280.0, 2_560.0, 5_120.0, 1e4];
 
+/// Upper bounds of the histogram of actual to estimated slot time: steps of a factor of 1.4
+/// between a quarter and four, the bounds on the estimate, and of two beyond.
+const RATIO_BOUNDS: [f64; 13] =
+    [0.0625, 0.125, 0.25, 0.354, 0.5, 0.707, 1.0, 1.414, 2.0, 2.828, 4.0, 8.0, 16.0];
+
 /// Maximum number of label sets of one instrument.
 ///
 /// The OpenTelemetry library allocates a hash table for all of them in advance. With the library's
@@ -100,6 +105,7 @@
     evacuated_zones: UpDownCounter<i64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
+    demand_error: Histogram<f64>,
 }
 
 impl Metrics {
@@ -197,6 +203,11 @@
                 "teaselworks_duration_ms",
                 "Time from a request's arrival to the end of its answer.",
             ),
+            demand_error: meter
+                .f64_histogram("teaselworks_demand_error_ratio")
+                .with_description("Slot time that a request took, divided by its estimate.")
+                .with_boundaries(RATIO_BOUNDS.to_vec())
+                .build(),
             registry,
             _provider: provider,
         };
@@ -305,6 +316,11 @@
         self.first_byte.record(elapsed.as_secs_f64() * 1e3, &[]);
     }
 
+    /// Records the ratio of the slot time that a request took to its estimate.
+    pub fn record_demand_error(&self, ratio: f64) {
+        self.demand_error.record(ratio, &[]);
+    }
+
     /// Counts a response that broke off after it had begun.
     pub fn add_broken_answer(&self) {
         self.broken_answers.add(1, &[]);
--- a/teaselworks/src/relay/in_flight.rs
+++ b/teaselworks/src/relay/in_flight.rs
@@ -9,6 +9,7 @@
 use teaselworks_policy::upstream::{Incarnation, LoadReport, RequestOutcome};
 
 use super::Shared;
+use super::request::PreparedRequest;
 use crate::event;
 
 /// A request that counts as in flight at an upstream.
@@ -30,6 +31,8 @@
     first_byte_at: Option<Duration>,
     /// Whether the answer has been written for long enough to speak for the parts of the prompt.
     is_written: bool,
+    /// Whether the answer resumes a stream that broke off, so that it is only a part of the answer.
+    is_resumed: bool,
 }
 
 impl InFlightRequest {
@@ -52,6 +55,7 @@
             parts,
             first_byte_at: None,
             is_written: false,
+            is_resumed: false,
         }
     }
 
@@ -70,6 +74,7 @@
             parts: None,
             first_byte_at: None,
             is_written: false,
+            is_resumed: false,
         }
     }
 
@@ -97,6 +102,19 @@
         self.outcome = Some(outcome);
     }
 
+    /// Records that the answer to the request is complete, and the slot time that it took if a replica
+    /// gave the whole answer.
+    pub(super) fn on_complete(&mut self, request: &PreparedRequest) {
+        self.set_outcome(RequestOutcome::Answered);
+        if self.is_at_router || self.is_resumed {
+            return;
+        }
+        let slot_time = self.shared.now().saturating_sub(self.started_at);
+        let ratio =
+            self.shared.fleet().on_slot_time(&request.route.name, request.prompt(), slot_time);
+        self.shared.metrics.record_demand_error(ratio);
+    }
+
     /// Records that the upstream broke off, which a part of the prompt may have caused if the answer
     /// had not been written for a while.
     pub(super) fn on_broken(&self) {
@@ -127,6 +145,7 @@
     /// Records that an answer arrived that resumes a stream. Its wait is no measure of that of new
     /// requests.
     pub(super) fn on_resumed(&mut self) {
+        self.is_resumed = true;
         self.first_byte_at = Some(self.shared.now());
     }
 
--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use teaselworks_policy::configuration::{Configuration, RequestLimits, Route, Workspace};
 use teaselworks_policy::deadline::Deadline;
+use teaselworks_policy::placement::Prompt;
 use teaselworks_policy::verdict::RefusalReason;
 
 use super::body::{self, BodyError, OutgoingBody};
@@ -44,6 +45,12 @@
         let workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
         workspace.unwrap_or(self.route.priority)
     }
+
+    /// Returns the prompt; `None` for a request of a route without prompts, whatever its headers
+    /// say.
+    pub(super) fn prompt(&self) -> Option<&Prompt> {
+        self.metadata.prompt.as_ref().filter(|_| self.route.has_prompts)
+    }
 }
 
 /// Checks the head of a request and finds its route, service and workspace.
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -267,7 +267,7 @@
             return AttemptResult::Complete(answer);
         }
         if !status.is_server_error() && !is_not_run_status(status) {
-            in_flight.set_outcome(RequestOutcome::Answered);
+            in_flight.on_complete(&self.prepared);
             return AttemptResult::Complete(answer);
         }
         in_flight.set_outcome(RequestOutcome::Error);
--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -279,7 +279,7 @@
         let Self { source, request_state, progress, status, .. } = self;
         let Some(Source { mut in_flight, connection, is_closing, body }) = source else { return };
         drop(body);
-        in_flight.set_outcome(RequestOutcome::Answered);
+        in_flight.on_complete(&request_state.prepared);
         let attempts = request_state.attempts();
         progress.answered(status.as_u16(), in_flight.upstream(), attempts);
         if !is_closing {
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -5,6 +5,7 @@
 //! reports and from what other routers share.
 
 mod crashes;
+mod demand;
 mod list_age;
 mod retries;
 mod settings;
@@ -21,6 +22,7 @@
 use crate::configuration::{Configuration, Route};
 use crate::crash::CrashLedger;
 use crate::deadline::DeadlineBaselines;
+use crate::demand::DemandEstimator;
 use crate::durations::RouteDurations;
 use crate::membership::Membership;
 use crate::placement::{Placement, PlacementRequest, PlacementSettings, Refused, try_place};
@@ -48,6 +50,7 @@
     budget: RetryBudget,
     durations: RouteDurations,
     deadlines: DeadlineBaselines,
+    demand: DemandEstimator,
     random: Pcg32,
     /// How long it takes to open connections to replicas.
     pub connect_times: ConnectTimes,
@@ -76,6 +79,7 @@
             budget: RetryBudget::new(settings.budget),
             durations: RouteDurations::default(),
             deadlines: DeadlineBaselines::default(),
+            demand: DemandEstimator::default(),
             random: Pcg32::seed_from_u64(seed),
             connect_times: ConnectTimes::default(),
             membership,
@@ -109,6 +113,7 @@
         }
         self.durations.retain(&configuration.routes);
         self.deadlines.retain(&configuration.routes);
+        self.demand.retain(&configuration.routes);
         self.configuration = Some(Arc::new(configuration));
         self.update_service_properties();
         true
--- a/teaselworks_policy/tests/demand.rs
+++ b/teaselworks_policy/tests/demand.rs
@@ -7,9 +7,13 @@
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
-use teaselworks_policy::configuration::{Kind, Route, Routes};
+use teaselworks_policy::configuration::{Configuration, Kind, Route, Routes};
 use teaselworks_policy::demand::DemandEstimator;
+use teaselworks_policy::fleet::{Fleet, FleetSettings};
+use teaselworks_policy::membership::Membership;
 use teaselworks_policy::placement::Prompt;
+use teaselworks_policy::retry::BudgetSettings;
+use teaselworks_policy::upstream::ColdSettings;
 
 /// Bound on the estimate, as a factor of the route's mean in both directions.
 const FACTOR_BOUND: f64 = 4.0;
@@ -251,6 +255,28 @@
     assert_eq!(estimator.estimate(&dropped.name, None).slot_time, target_latency);
 }
 
+/// Guards against a router whose estimates do not follow its configurations, or its observations.
+#[test]
+fn fleet_estimates_by_its_configuration_and_observations() {
+    let budget = BudgetSettings { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
+    let cold = ColdSettings { overshoot: 1.0, slack: 0.0 };
+    let max_staleness = Duration::from_secs(2);
+    let settings = FleetSettings { load_factor: 2.0, cold, budget, max_staleness };
+    let mut fleet = Fleet::new(settings, Membership::new("router".into(), Vec::new()), 1);
+    let target_latency = Duration::from_millis(125);
+    let route = Route { target_latency, ..Route::example(Kind::Stream, "/a/") };
+    let routes = [Routes::new([route.clone()]), Routes::default(), Routes::new([route.clone()])];
+    for (routes, version) in routes.into_iter().zip(1..) {
+        fleet.set_configuration(Configuration { version, routes, ..Configuration::default() });
+        if version == 2 {
+            continue;
+        }
+        assert_eq!(fleet.estimate_demand(&route.name, None).slot_time, target_latency);
+        assert_eq!(fleet.on_slot_time(&route.name, None, 3 * target_latency), 3.0);
+        assert_eq!(fleet.estimate_demand(&route.name, None).slot_time, 3 * target_latency);
+    }
+}
+
 proptest! {
     /// Guards against a panic, a ratio that is not a finite number, and an estimate beyond a quarter
     /// or four times the mean, whatever the headers say and however long requests take.
