--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -48,7 +48,8 @@
         self.class.rank
     }
 
-    /// Returns the prompt, if the route carries prompts.
+    /// Returns the prompt; `None` for a request of a route without prompts, whatever its headers
+    /// say.
     pub(super) fn prompt(&self) -> Option<&Prompt> {
         self.metadata.prompt.as_ref().filter(|_| self.route.has_prompts)
     }
