--- a/teaselworks/tests/settings.rs
+++ b/teaselworks/tests/settings.rs
@@ -98,6 +98,7 @@
     assert_eq!(settings.bounds.draining_ms, 1_800);
     assert_eq!(settings.bounds.load_factor, 3.0);
     assert_eq!(settings.platform.shortest_lease_ms, 1_500);
+    assert!(settings.admission.by_priority && settings.admission.workspace_shares);
 }
 
 /// Guards against a template that writes a field without a value when the deployment does not set
@@ -142,6 +143,41 @@
     }
 }
 
+/// Guards against services that are divided although the settings do not ask for it, and against a
+/// misspelt or mistyped switch that is taken for one that is off.
+#[test]
+fn admission_is_off_by_default_and_its_faults_are_located() {
+    let with_admission = |section: &str| {
+        let text = render(TEMPLATE, &platform_values(), &Value::Null);
+        let start = text.find("  \"admission\"").unwrap();
+        let end = start + text[start..].find("},\n").unwrap() + 3;
+        Settings::parse("router.jsonc", &(text[..start].to_owned() + section + &text[end..]))
+    };
+    let absent = with_admission("").unwrap().admission;
+    assert!(!absent.by_priority && !absent.workspace_shares);
+    let partial = with_admission("\"admission\": { \"workspace_shares\": true },\n").unwrap();
+    assert!(!partial.admission.by_priority && partial.admission.workspace_shares);
+
+    let faulty = "\"admission\": {\n  \"by_priority\": 1,\n  \"workspace_shares\": \"true\",\n  \
+                  \"workspace_share\": true,\n},\n";
+    let first_line = render(TEMPLATE, &platform_values(), &Value::Null)
+        .lines()
+        .position(|line| line.contains("\"admission\""))
+        .unwrap()
+        + 1;
+    let message = with_admission(faulty).unwrap_err().to_string();
+    let expected = [
+        (1, "admission.by_priority: invalid type: integer `1`, expected a boolean"),
+        (2, "admission.workspace_shares: invalid type: string \"true\", expected a boolean"),
+        (3, "admission.workspace_share: "),
+    ];
+    for (offset, fault) in expected {
+        let line = format!("router.jsonc:{}:", first_line + offset);
+        let is_reported = |text: &str| text.starts_with(&line) && text.contains(fault);
+        assert!(message.lines().any(is_reported), "{line} {fault} is missing from {message}");
+    }
+}
+
 /// Guards against settings with the same address for two listeners, of which the second could not
 /// be bound at the start.
 #[test]
