--- a/teaselworks/src/daemon/mod.rs
+++ b/teaselworks/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! Process of a router: start, reload of the settings, and planned stop.
 
 mod error;
+mod overload;
 mod page;
 mod reload;
 mod serve;
--- a/teaselworks/src/daemon/serve.rs
+++ b/teaselworks/src/daemon/serve.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 use tokio::net::TcpListener;
 
+use super::overload::{OverloadLog, shares_report};
 use super::page::{self, Page};
 use super::services::{CACHE, METRICS, SHARED, UPDATER, random_seed, register};
 use super::{ReloadSignal, StartError, reload, stop};
@@ -20,8 +21,8 @@
 use crate::relay::{CallerPort, Shared};
 use crate::settings::Settings;
 
-/// Time between checks for expired state: idle connections to upstreams, and upstreams that have
-/// been missing for so long that they count as gone.
+/// Time between checks for expired state: idle connections to upstreams, upstreams that have been
+/// missing for so long that they count as gone, and overloads of services.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between checks for links to services that are to be probed.
 const LINK_PROBE_INTERVAL: Duration = Duration::from_millis(200);
@@ -123,9 +124,10 @@
     tokio::spawn(async move { crash_shared.exchange_crashes().await });
     tokio::spawn(sweep(shared.clone(), updater));
     tokio::spawn(probe_links(shared.clone()));
+    let page_shared = shared.clone();
     tokio::spawn(page::serve(ports.metrics, move || Page {
         status: StatusCode::OK,
-        text: metrics.to_text(),
+        text: metrics.to_text(&shares_report(&page_shared)),
     }));
     tokio::spawn(page::serve(ports.health, move || readiness(&shared)));
     tokio::spawn(port.run(ports.callers));
@@ -157,11 +159,14 @@
     shared.datagrams.receive(|message, sender| shared.on_message(message, sender)).await;
 }
 
-/// Removes expired state at regular intervals until the process ends.
+/// Removes expired state, and logs overloads that have begun or ended, at regular intervals until
+/// the process ends.
 async fn sweep(shared: Arc<Shared>, updater: Arc<StateUpdater>) {
+    let mut overload_log = OverloadLog::default();
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         updater.expire();
         shared.connections.close_expired(shared.now());
+        overload_log.update(&shared);
     }
 }
--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -51,12 +51,12 @@
 
     // 700-799: callers.
     REQUEST_ANSWERED = 700 Info "request_answered" "An upstream answered a request completely.";
-    REQUEST_REFUSED = 701 Info "request_refused" "A request was refused or abandoned; the fields name the reason and the verdict.";
+    REQUEST_REFUSED = 701 Info "request_refused" "A request was refused or abandoned; the fields name the reason and the verdict, the rank (-1: not known), the workspace (empty: none), and whether its caller was probably refused before (is_late).";
     ANSWER_BROKEN = 702 Info "answer_broken" "An answer broke off after it had begun; the caller's connection is closed early.";
     CALLER_LEFT = 703 Info "caller_left" "The caller closed its connection before its answer was complete; the upstream's connection was closed too.";
 
     // 800-899: routing.
-    REQUEST_PLACED = 800 Info "request_placed" "A request is sent to an upstream; the fields name the reason for the choice.";
+    REQUEST_PLACED = 800 Info "request_placed" "A request is sent to an upstream; the fields name the reason for the choice, the rank and the workspace (empty: none).";
     ATTEMPT_RETRIED = 801 Info "attempt_retried" "An attempt failed, and the request is retried. The fields tell what paid for it before the decision: the retries that recent requests could pay for (credit), what was left of this router's part of the slack (slack_left), how the slack is divided (share, by the number of routers) or why this router has no part of it (settling, unregistered, list_outdated), the age of its list, and its retries within the window (used). They are -1 for a retry that counts against no budget, or follows attempt_abandoned.";
     ATTEMPT_FAILED = 802 Info "attempt_failed" "An attempt failed and the request is not retried; the fields name how it failed and why there is no retry.";
     CONNECT_FAILED = 803 Info "connect_failed" "A connection to an upstream could not be opened; the fields name the cause, how long it took, and the timeout that applied.";
@@ -81,6 +81,8 @@
     UPSTREAM_LEAVING = 911 Info "upstream_leaving" "An upstream said with an answer that it is leaving and gets no new requests, whatever its entry says.";
     SERVICE_BRITTLE = 912 Warn "service_brittle" "The replicas of a service say that one which rejects more requests than this within a second falls over; for as long as they say so, requests do not wait there, and a replica that rejects one gets none for a while.";
     UPSTREAM_COLD = 913 Info "upstream_cold" "An upstream said with an answer that it is cold, which was not known before; the field gives the time that remains.";
+    SERVICE_OVERLOADED = 914 Warn "service_overloaded" "The load offered to a service exceeds 0.9 of its slots, which are divided between ranks and workspaces from now on. The fields give the load and the slots: of the routers in the totals, or, without totals of the last second (totals_age_ms, -1: none), of this router and its part of the slots. The field admitted gives the admitted fraction by rank.";
+    SERVICE_RECOVERED = 915 Info "service_recovered" "The load offered to a service has fallen below 0.8 of its slots, or the service is no longer divided. The fields are those of service_overloaded, the time for which it was overloaded at this router (lasted_ms), and the lowest admitted fraction by rank, as seen twice a second meanwhile (lowest_admitted).";
     PART_SUSPECTED = 920 Info "part_suspected" "Two replicas, one after the other, broke off requests whose prompts share a part: all routers are asked whether an answer was written on it since the first crash.";
     PART_PROVEN = 921 Info "part_proven" "An answer was written on a part of prompts that is suspected of crashing replicas; the routers that hold reports of it are told.";
     PART_BLOCKED = 922 Warn "part_blocked" "A part of prompts crashes the replicas that begin to write an answer on it: requests with it are refused for five minutes. The source says whether this router found out from crashes, another one did (router), or the store lists it; the number of crashes is known to the first two.";
--- a/teaselworks/src/metrics.rs
+++ b/teaselworks/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters, gauges and histograms of one router, exported as Prometheus text.
 
+mod admission;
+
 use std::fmt;
 use std::io::ErrorKind;
 use std::time::Duration;
@@ -12,6 +14,8 @@
 use teaselworks_policy::retry::{RetryReason, SlackShare};
 use teaselworks_policy::verdict::{Refusal, RefusalReason, Verdict};
 
+use self::admission::AdmissionCounters;
+pub use self::admission::SharesReport;
 use crate::event;
 
 /// Upper bounds of the latency histograms, in milliseconds.
@@ -86,6 +90,7 @@
     registry: Registry,
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
+    admission: AdmissionCounters,
     retries: Counter<u64>,
     answers: Counter<u64>,
     broken_answers: Counter<u64>,
@@ -112,9 +117,10 @@
     /// Creates the metrics.
     ///
     /// ```
-    /// use teaselworks::metrics::Metrics;
+    /// use teaselworks::metrics::{Metrics, SharesReport};
     ///
-    /// assert!(Metrics::new().to_text().contains("teaselworks_refusals"));
+    /// let text = Metrics::new().to_text(&SharesReport::default());
+    /// assert!(text.contains("teaselworks_refusals"));
     /// ```
     pub fn new() -> Self {
         let registry = Registry::new();
@@ -128,6 +134,7 @@
         let meter = provider.meter("teaselworks");
         let metrics = Self {
             refusals: counter(&meter, "teaselworks_refusals", "Requests refused, by reason."),
+            admission: AdmissionCounters::new(&meter),
             retries: counter(&meter, "teaselworks_retries", "Attempts repeated, by reason."),
             answers: counter(&meter, "teaselworks_answers", "Requests answered, by kind."),
             broken_answers: counter(
@@ -371,12 +378,14 @@
         self.in_progress.add(change, &[]);
     }
 
-    /// Returns all metrics as Prometheus text.
-    pub fn to_text(&self) -> String {
+    /// Returns all metrics, and those of `shares`, as Prometheus text.
+    pub fn to_text(&self, shares: &SharesReport) -> String {
+        let mut families = self.registry.gather();
+        families.extend(shares.metric_families());
         let mut text = Vec::new();
         // Encoding into a vector fails only for inconsistent metric families; the page then lacks
         // metrics, or is empty.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        let _ = TextEncoder::new().encode(&families, &mut text);
         let mut text = String::from_utf8(text).unwrap_or_default();
         text.push_str(&format!(
             "# HELP teaselworks_log_lines_dropped_total Log lines dropped for a slow reader.\n\
--- a/teaselworks/src/relay/request_progress.rs
+++ b/teaselworks/src/relay/request_progress.rs
@@ -4,13 +4,24 @@
 use std::time::Duration;
 
 use teaselworks_policy::configuration::Kind;
+use teaselworks_policy::shares::Class;
 use teaselworks_policy::verdict::Refusal;
 
 use super::Shared;
 use super::body::BodyError;
 use super::origin::Origin;
+use super::request::PreparedRequest;
 use crate::event;
 
+/// What is known of a request whose head passed all checks.
+struct KnownRequest {
+    route: Arc<str>,
+    kind: Kind,
+    service: Arc<str>,
+    class: Class,
+    is_late: bool,
+}
+
 /// A request in progress.
 ///
 /// If it is dropped before its end was recorded, it is logged and counted as a request whose caller
@@ -18,7 +29,7 @@
 pub(super) struct RequestProgress {
     shared: Arc<Shared>,
     id: Arc<str>,
-    route: Option<(Arc<str>, Kind)>,
+    known: Option<KnownRequest>,
     arrived_at: Duration,
     time_to_first_byte: Option<Duration>,
     has_ended: bool,
@@ -33,7 +44,7 @@
         Self {
             shared,
             id,
-            route: None,
+            known: None,
             arrived_at,
             time_to_first_byte: None,
             has_ended: false,
@@ -46,9 +57,15 @@
         self.origin
     }
 
-    /// Sets the route of the request.
-    pub(super) fn set_route(&mut self, name: Arc<str>, kind: Kind) {
-        self.route = Some((name, kind));
+    /// Sets what is known of the request; what was known before is replaced.
+    pub(super) fn set_request(&mut self, request: &PreparedRequest) {
+        self.known = Some(KnownRequest {
+            route: request.route.name.clone(),
+            kind: request.route.kind,
+            service: request.service.clone(),
+            class: request.class.clone(),
+            is_late: request.is_late,
+        });
     }
 
     /// Records the time from the arrival of the request to the head of its answer.
@@ -63,9 +80,9 @@
         self.has_ended = true;
         let elapsed = self.elapsed();
         let first_byte = self.time_to_first_byte.unwrap_or(elapsed);
-        if let Some((route, kind)) = &self.route {
-            self.shared.metrics.add_answer(*kind, elapsed);
-            self.shared.fleet().on_answered(route, elapsed);
+        if let Some(known) = &self.known {
+            self.shared.metrics.add_answer(known.kind, elapsed);
+            self.shared.fleet().on_answered(&known.route, elapsed);
         }
         event::REQUEST_ANSWERED.log(&[
             event::text("request", &self.id),
@@ -82,10 +99,21 @@
     pub(super) fn refused(mut self, refusal: &Refusal, attempts: u32, version: Option<u64>) {
         self.has_ended = true;
         self.shared.metrics.add_refusal(refusal);
+        let known = self.known.as_ref();
+        if let (Some(known), Origin::Caller) = (known, self.origin) {
+            let rank = known.class.rank;
+            self.shared.metrics.add_refused_request(&known.service, rank, refusal.reason);
+        }
+        let rank = known.map_or(-1, |known| i32::from(known.class.rank));
+        let workspace = known.and_then(|known| known.class.workspace.as_deref()).unwrap_or("");
         let retry_after = refusal.retry_after.unwrap_or_default();
         event::REQUEST_REFUSED.log(&[
             event::text("request", &self.id),
             event::text("route", &self.route_name()),
+            event::text("service", &known.map_or("", |known| &*known.service)),
+            event::text("rank", &rank),
+            event::text("workspace", &workspace),
+            event::text("is_late", &known.is_some_and(|known| known.is_late)),
             event::text("reason", &refusal.reason),
             event::text("verdict", &refusal.verdict),
             event::number("status", refusal.http_status().into()),
@@ -111,7 +139,7 @@
     }
 
     fn route_name(&self) -> &str {
-        self.route.as_ref().map_or("", |(name, _)| name)
+        self.known.as_ref().map_or("", |known| &known.route)
     }
 
     fn elapsed(&self) -> Duration {
--- a/teaselworks/src/relay/request_state.rs
+++ b/teaselworks/src/relay/request_state.rs
@@ -70,10 +70,19 @@
 
     /// Records that the router at `address` took the request.
     pub(super) fn hand_over(&mut self, address: SocketAddr) {
+        self.count_admission();
         self.tried.push(address.to_string().into());
         self.is_handed_over = true;
     }
 
+    /// Counts a request of a caller that is sent for the first time.
+    fn count_admission(&self) {
+        if self.origin == Origin::Caller && self.tried.is_empty() {
+            let rank = self.prepared.class.rank;
+            self.shared.metrics.add_admitted_request(&self.prepared.service, rank);
+        }
+    }
+
     /// Records that the first event of a stream arrived from a replica with this software version.
     /// Other routers are notified before the caller can come back with the event.
     pub(super) fn on_first_event(&mut self, version: &Arc<str>) {
@@ -124,6 +133,8 @@
         event::REQUEST_PLACED.log(&[
             event::text("request", &self.prepared.metadata.id),
             event::text("service", &self.prepared.service),
+            event::text("rank", &self.prepared.class.rank),
+            event::text("workspace", &self.prepared.class.workspace.as_deref().unwrap_or("")),
             event::text("upstream", &placement.upstream.id),
             event::text("reason", &placement.reason.as_str()),
             event::text("load", &format_args!("{:.1}", placement.load)),
@@ -142,6 +153,7 @@
             event::text("version", &placement.upstream.version),
             event::text("resumes", &self.resumed_stream_id()),
         ]);
+        self.count_admission();
         self.tried.push(placement.upstream.id.clone());
         Ok(placement)
     }
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -62,7 +62,7 @@
         Ok(prepared) => prepared,
         Err(reason) => return refuse(progress, Some(&id), &not_run_refusal(reason), 0, version),
     };
-    progress.set_route(prepared.route.name.clone(), prepared.route.kind);
+    progress.set_request(&prepared);
     if let Err(refusal) = shared.admit(&prepared.route.name, &prepared.deadline) {
         return refuse(progress, Some(&id), &refusal, 0, version);
     }
@@ -75,6 +75,7 @@
             timeout: prepared.metadata.deadline,
         };
         prepared.is_late = shared.fleet().on_request(shared.now(), &prepared.service, &request);
+        progress.set_request(&prepared);
     }
     let body = request::read_body(incoming, &prepared.headers, &configuration.limits).await;
     if body.as_ref().is_ok_and(RequestBody::is_buffered) {
@@ -92,6 +93,8 @@
             return refuse(progress, Some(&id), &not_run_refusal(reason), 0, version);
         }
     };
+    // The service of a resumed stream is the one that began it.
+    progress.set_request(&prepared);
     let state = RequestState::new(shared, prepared, configuration, body, origin, stream_origin);
     state.run(progress).await
 }
--- a/teaselworks_policy/src/shares/status.rs
+++ b/teaselworks_policy/src/shares/status.rs
@@ -10,7 +10,7 @@
 const MAX_WORKSPACES: usize = 32;
 
 /// State of the division of a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServiceStatus {
     /// Whether the service is overloaded.
     pub is_overloaded: bool,
@@ -20,7 +20,8 @@
     pub offered_slots: f64,
     /// Admitted fraction by rank, the most urgent first; 1 while the service is not overloaded.
     pub admitted_by_rank: Vec<(u8, f64)>,
-    /// The workspaces with the largest offered load, the largest first; at most 32.
+    /// The workspaces with the largest offered load, the largest first; at most 32. All others
+    /// follow as one row of the key [`WorkspaceKey::REST`].
     pub workspaces: Vec<WorkspaceStatus>,
     /// Age of the totals; `None` if there are none.
     pub totals_age: Option<Duration>,
@@ -39,6 +40,29 @@
     pub admitted_fraction: f64,
 }
 
+impl WorkspaceStatus {
+    /// Returns the sum of two rows, with the key of the first one.
+    ///
+    /// ```
+    /// use teaselworks_policy::shares::{WorkspaceKey, WorkspaceStatus};
+    ///
+    /// let row = |offered_slots, admitted_fraction| WorkspaceStatus {
+    ///     workspace: WorkspaceKey::REST,
+    ///     offered_slots,
+    ///     admitted_fraction,
+    /// };
+    /// assert_eq!(row(3.0, 1.0).plus(&row(1.0, 0.0)), row(4.0, 0.75));
+    /// ```
+    pub fn plus(&self, other: &WorkspaceStatus) -> WorkspaceStatus {
+        let admitted = |row: &WorkspaceStatus| row.offered_slots * row.admitted_fraction;
+        let offered_slots = self.offered_slots + other.offered_slots;
+        let admitted_slots = admitted(self) + admitted(other);
+        let admitted_fraction =
+            if offered_slots > 0.0 { admitted_slots / offered_slots } else { 1.0 };
+        WorkspaceStatus { workspace: self.workspace, offered_slots, admitted_fraction }
+    }
+}
+
 /// A service has become overloaded or no longer is.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OverloadChange {
@@ -83,7 +107,14 @@
             workspaces = rows.collect();
         }
     }
-    workspaces.sort_by(|a, b| b.offered_slots.total_cmp(&a.offered_slots));
-    workspaces.truncate(MAX_WORKSPACES);
+    let is_rest = |row: &WorkspaceStatus| row.workspace == WorkspaceKey::REST;
+    workspaces.sort_by(|a, b| {
+        is_rest(a).cmp(&is_rest(b)).then(b.offered_slots.total_cmp(&a.offered_slots))
+    });
+    if workspaces.len() > MAX_WORKSPACES {
+        let others = workspaces.split_off(MAX_WORKSPACES).into_iter();
+        let sum = others.reduce(|sum, row| sum.plus(&row));
+        workspaces.extend(sum.map(|sum| WorkspaceStatus { workspace: WorkspaceKey::REST, ..sum }));
+    }
     (by_rank, workspaces)
 }
