--- a/teaselworks_policy/src/shares/gate.rs
+++ b/teaselworks_policy/src/shares/gate.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Gate {
     sums: HashMap<GateKey, f64>,
+    /// Returning callers that new ones of the rank have made room for, by rank.
+    returning_credits: HashMap<u8, f64>,
 }
 
 impl Gate {
@@ -40,9 +42,45 @@
         is_admitted
     }
 
+    /// Returns whether a returning caller passes: the planned fraction does, and new callers of the
+    /// rank have made room for it.
+    ///
+    /// The fraction alone would admit many times what is planned for half a second after many
+    /// callers were refused and come back, which is how long the totals take to show them.
+    pub fn admits_returning(
+        &mut self,
+        now: Duration,
+        key: GateKey,
+        fraction: f64,
+        returning_per_new: f64,
+    ) -> bool {
+        if returning_per_new >= 1.0 {
+            // Returning callers get room that no one else asks for.
+            return self.admits(now, key, fraction);
+        }
+        let credit = self.credit(now, key.rank);
+        if *credit < 1.0 || !self.admits(now, key, fraction) {
+            return false;
+        }
+        *self.credit(now, key.rank) -= 1.0;
+        true
+    }
+
+    /// Records that a new caller was admitted.
+    pub fn on_new_admitted(&mut self, now: Duration, rank: u8, returning_per_new: f64) {
+        let credit = self.credit(now, rank);
+        *credit = (*credit + returning_per_new).min(1.0);
+    }
+
+    fn credit(&mut self, now: Duration, rank: u8) -> &mut f64 {
+        let key = GateKey { workspace: WorkspaceKey::REST, rank, is_returning: true };
+        self.returning_credits.entry(rank).or_insert_with(|| first_sum(now, key))
+    }
+
     /// Forgets the sums, since the service is no longer overloaded.
     pub fn clear(&mut self) {
         self.sums.clear();
+        self.returning_credits.clear();
     }
 
     /// Drops the sums of workspaces for which `is_kept` is false.
--- a/teaselworks_policy/src/shares/mod.rs
+++ b/teaselworks_policy/src/shares/mod.rs
@@ -69,9 +69,9 @@
         if !self.settings.is_enabled() {
             return;
         }
-        let (workspace, rank) = self.settings.key(class);
+        let key = self.settings.key(class);
         let state = self.service_mut(now, service);
-        state.offered.add(now, workspace, rank, demand.slot_time, is_returning);
+        state.on_request(now, key, demand.slot_time, is_returning);
     }
 
     /// Decides on a request that [`Shares::on_request`] has recorded.
--- a/teaselworks_policy/src/shares/offered.rs
+++ b/teaselworks_policy/src/shares/offered.rs
@@ -16,15 +16,47 @@
 const ALONE: Duration = Duration::from_secs(1);
 /// Time constant of the average load, longer than the bursts from which it tells the usual load.
 const USUAL: Duration = Duration::from_secs(30);
-/// Time constant of the average load while a workspace exceeds its share, so that the excess does
-/// not become the average.
+/// Time constant of the average load while a workspace exceeds its share. Only what is within the
+/// share counts then, so that the excess does not become the average.
 const USUAL_IN_EXCESS: Duration = Duration::from_secs(60);
+/// Multiple of the age of the table that takes the place of [`USUAL_IN_EXCESS`] while it is shorter.
+/// With the age itself, an excess would become the average within seconds after a start.
+const AGE_FACTOR_IN_EXCESS: f64 = 4.0;
+/// Age of the table up to which the first totals tell it the growth of workspaces.
+const MAX_AGE_AT_FIRST_TOTALS: Duration = Duration::from_secs(5);
 /// Workspaces with rows of their own. With more, those with the least load share a row: what they
 /// take does not change what the others get.
 const MAX_WORKSPACES: usize = 64;
 /// Load in slots below which a row is left out.
 const MIN_LOAD: f64 = 1e-3;
 
+/// Moving mean of the load that this router admitted.
+#[derive(Debug, Default)]
+pub(super) struct AdmittedLoad {
+    updated_at: Duration,
+    slots: f64,
+}
+
+impl AdmittedLoad {
+    /// Returns whether there is room for a request in a part of the slots.
+    pub fn has_room(&mut self, now: Duration, slot_time: Duration, slots: f64) -> bool {
+        self.advance(now);
+        // Half of the request, so that the mean comes to the slots and not to less.
+        self.slots + slot_time.div_duration_f64(ALONE) / 2.0 <= slots
+    }
+
+    pub fn add(&mut self, now: Duration, slot_time: Duration) {
+        self.advance(now);
+        self.slots += slot_time.div_duration_f64(ALONE);
+    }
+
+    fn advance(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.updated_at);
+        self.slots *= (-elapsed.div_duration_f64(ALONE)).exp();
+        self.updated_at = now.max(self.updated_at);
+    }
+}
+
 /// For whom the offered load is read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Reader {
@@ -47,7 +79,8 @@
 struct WorkspaceMeans {
     updated_at: Duration,
     usual: f64,
-    exceeds_share: bool,
+    /// Part of the offered load that is within the share.
+    within_share: f64,
     ranks: Vec<RankMeans>,
 }
 
@@ -56,12 +89,14 @@
 pub(super) struct OfferedLoad {
     started_at: Duration,
     rows: HashMap<WorkspaceKey, WorkspaceMeans>,
+    /// Growth of workspaces when this router got its first totals.
+    growth_at_start: Option<HashMap<WorkspaceKey, f64>>,
 }
 
 impl OfferedLoad {
     /// Creates the table at the first request to the service.
     pub fn new(now: Duration) -> Self {
-        Self { started_at: now, rows: HashMap::new() }
+        Self { started_at: now, rows: HashMap::new(), growth_at_start: None }
     }
 
     /// Adds a request.
@@ -74,10 +109,16 @@
         is_returning: bool,
     ) {
         let started_at = self.started_at;
+        let age = now.saturating_sub(started_at);
+        if age > USUAL {
+            self.growth_at_start = None;
+        }
+        let growth = self.growth_at_start.as_ref().and_then(|growth| growth.get(&workspace));
+        let growth = growth.copied().unwrap_or(1.0);
         let row = self.row(now, workspace);
         row.advance(now, started_at);
-        let time_constant = row.usual_time_constant().min(now - started_at).max(FAST);
-        row.usual += slot_time.div_duration_f64(time_constant);
+        let counted = row.within_share.min(1.0 / growth);
+        row.usual += counted * slot_time.div_duration_f64(row.usual_time_constant().at_age(age));
         let means = row.rank(rank);
         for (load, time_constant) in [(&mut means.fast, FAST), (&mut means.alone, ALONE)] {
             let mean = if is_returning { &mut load.returning } else { &mut load.new };
@@ -85,6 +126,25 @@
         }
     }
 
+    /// Takes the growth of workspaces from the first totals after a start.
+    ///
+    /// A router that starts while a workspace sends ten times its average load would otherwise take
+    /// that for the average: with few routers, this alone doubles the share of the workspace.
+    pub fn on_totals(&mut self, now: Duration, totals: &[OfferedRow]) {
+        let age = now.saturating_sub(self.started_at);
+        if self.growth_at_start.is_some() || age > MAX_AGE_AT_FIRST_TOTALS {
+            return;
+        }
+        let has_average = |row: &&OfferedRow| row.usual >= MIN_LOAD;
+        let growth = |row: &OfferedRow| (row.workspace, (row.offered_slots() / row.usual).max(1.0));
+        let growth: HashMap<WorkspaceKey, f64> =
+            totals.iter().filter(has_average).map(growth).collect();
+        for (workspace, row) in &mut self.rows {
+            row.usual /= growth.get(workspace).copied().unwrap_or(1.0);
+        }
+        self.growth_at_start = Some(growth);
+    }
+
     /// Returns the row of a workspace; makes room for it if it has none.
     fn row(&mut self, now: Duration, workspace: WorkspaceKey) -> &mut WorkspaceMeans {
         let is_full = self.rows.len() > MAX_WORKSPACES;
@@ -137,11 +197,11 @@
         rows
     }
 
-    /// Records which workspaces exceed their share.
-    pub fn set_exceeding(&mut self, now: Duration, exceeds_share: impl Fn(WorkspaceKey) -> bool) {
+    /// Records which part of the load of each workspace is within its share.
+    pub fn set_within_share(&mut self, now: Duration, within_share: impl Fn(WorkspaceKey) -> f64) {
         for (workspace, row) in &mut self.rows {
             row.advance(now, self.started_at);
-            row.exceeds_share = exceeds_share(*workspace);
+            row.within_share = within_share(*workspace);
         }
     }
 
@@ -153,7 +213,7 @@
 
 impl WorkspaceMeans {
     fn new(now: Duration) -> Self {
-        Self { updated_at: now, usual: 0.0, exceeds_share: false, ranks: Vec::new() }
+        Self { updated_at: now, usual: 0.0, within_share: 1.0, ranks: Vec::new() }
     }
 
     /// Returns the load by which the rows that are kept are chosen.
@@ -162,8 +222,12 @@
         self.usual + fast.sum::<f64>()
     }
 
-    fn usual_time_constant(&self) -> Duration {
-        if self.exceeds_share { USUAL_IN_EXCESS } else { USUAL }
+    fn usual_time_constant(&self) -> UsualTimeConstant {
+        if self.within_share < 1.0 {
+            UsualTimeConstant { age_factor: AGE_FACTOR_IN_EXCESS, most: USUAL_IN_EXCESS }
+        } else {
+            UsualTimeConstant { age_factor: 1.0, most: USUAL }
+        }
     }
 
     /// Returns the means of a rank.
@@ -192,17 +256,30 @@
             means.alone.returning *= alone;
         }
         let age = |at: Duration| at.saturating_sub(started_at);
-        self.usual *= usual_decay(age(self.updated_at), age(now), self.usual_time_constant());
+        self.usual *= self.usual_time_constant().decay(age(self.updated_at), age(now));
         self.updated_at = now;
     }
 }
 
-/// Returns by how much the average load decays between two ages of the table. While the table is
-/// younger than the time constant, the age takes its place, which makes the average the mean since
-/// the start.
-fn usual_decay(from: Duration, to: Duration, time_constant: Duration) -> f64 {
-    let young_until = to.min(time_constant).max(FAST);
-    let young_from = from.clamp(FAST, young_until);
-    let old = to.saturating_sub(from.max(young_until)).div_duration_f64(time_constant);
-    young_from.div_duration_f64(young_until) * (-old).exp()
+/// Time constant of the average load: a multiple of the table's age, up to a bound. While it is the
+/// age itself, the average is the mean since the start.
+#[derive(Clone, Copy, Debug)]
+struct UsualTimeConstant {
+    age_factor: f64,
+    most: Duration,
+}
+
+impl UsualTimeConstant {
+    fn at_age(self, age: Duration) -> Duration {
+        age.max(FAST).mul_f64(self.age_factor).min(self.most)
+    }
+
+    /// Returns by how much the average load decays between two ages of the table.
+    fn decay(self, from: Duration, to: Duration) -> f64 {
+        let young_until = self.most.div_f64(self.age_factor).min(to).max(FAST);
+        let young_from = from.clamp(FAST, young_until);
+        let young = young_from.div_duration_f64(young_until).powf(1.0 / self.age_factor);
+        let old = to.saturating_sub(from.max(young_until)).div_duration_f64(self.most);
+        young * (-old).exp()
+    }
 }
--- a/teaselworks_policy/src/shares/plan.rs
+++ b/teaselworks_policy/src/shares/plan.rs
@@ -20,11 +20,13 @@
 /// Part of the admitted load of a class that returning callers may take. Their answers are late
 /// already, and the same slots answer new callers in time.
 const RETURNING_SHARE: f64 = 0.1;
+/// The same, as a part of the admitted load of new callers.
+const RETURNING_PER_NEW: f64 = RETURNING_SHARE / (1.0 - RETURNING_SHARE);
 /// Smallest weight of a workspace, as a part of an equal part of the capacity. Without it a
 /// workspace that is new, and so has no average load, would be refused nearly everything.
 const MIN_WEIGHT: f64 = 0.1;
 /// Average load, as a part of an equal part of the capacity, below which a workspace does not count
-/// in the median growth: it is new, or so small that single requests make its growth.
+/// in the common growth: it is new, or so small that single requests make its growth.
 const MIN_GROWTH_BASE: f64 = 0.01;
 /// Tolerance for the rounding of sums of fractions.
 const ROUNDING_TOLERANCE: f64 = 1e-9;
@@ -55,6 +57,9 @@
     pub offered_slots: f64,
     /// Admitted load in slots.
     pub admitted_slots: f64,
+    /// Admitted load of returning callers per admitted load of new ones, at least what the former
+    /// may take.
+    returning_per_new: f64,
     /// Admitted fraction of the load within the shares of workspaces.
     within_share: f64,
 }
@@ -124,10 +129,19 @@
         }
     }
 
-    /// Returns whether a workspace offers more than its share.
-    pub fn exceeds_share(&self, workspace: WorkspaceKey) -> bool {
+    /// Returns the part of a workspace's offered load that is within its share.
+    pub fn within_share(&self, workspace: WorkspaceKey) -> f64 {
         let index = self.workspaces.binary_search_by_key(&workspace, |row| row.workspace);
-        index.is_ok_and(|index| self.workspaces[index].exceeds_share)
+        let row = index.map(|index| &self.workspaces[index]);
+        row.map_or(1.0, |row| {
+            if row.exceeds_share { fraction(row.share_slots, row.offered_slots) } else { 1.0 }
+        })
+    }
+
+    /// Returns the admitted load of returning callers of a rank per admitted load of new ones.
+    pub fn returning_per_new(&self, rank: u8) -> f64 {
+        let index = self.ranks.binary_search_by_key(&rank, |known| known.rank);
+        index.map_or(RETURNING_PER_NEW, |index| self.ranks[index].returning_per_new)
     }
 
     /// Returns the part of the admitted load that the first `ranks` ranks have.
@@ -161,6 +175,14 @@
     admitted: [f64; 3],
 }
 
+impl ClassLoad {
+    /// Returns the admitted load of returning callers.
+    fn admitted_returning(&self) -> f64 {
+        let [within, excess, late] = self.admitted;
+        late + self.load.returning.min(RETURNING_SHARE * (within + excess))
+    }
+}
+
 /// Divides the capacity of an overloaded service. `rows` must have one row for each workspace, with
 /// one entry for each rank.
 ///
@@ -178,14 +200,18 @@
 /// ```
 pub fn plan(capacity_slots: f64, rows: &[OfferedRow]) -> Plan {
     let capacity_slots = capacity_slots.max(0.0);
-    let mut rows: Vec<&OfferedRow> = rows.iter().collect();
+    // In one order, so that routers that get the rows in different ones make the same plan.
+    let mut rows = rows.to_vec();
     rows.sort_by_key(|row| row.workspace);
+    for row in &mut rows {
+        row.ranks.sort_by_key(|load| load.rank);
+    }
     let mut ranks: Vec<u8> = rows.iter().flat_map(|row| &row.ranks).map(|load| load.rank).collect();
     ranks.sort_unstable();
     ranks.dedup();
 
     let equal_part = capacity_slots / rows.len().max(1) as f64;
-    let growth = median_growth(&rows, equal_part);
+    let growth = common_growth(&rows, equal_part);
     let mut workspaces: Vec<WorkspacePlan> = Vec::with_capacity(rows.len());
     let mut classes: Vec<ClassLoad> = Vec::new();
     for (index, row) in rows.iter().enumerate() {
@@ -211,26 +237,28 @@
     summarize(capacity_slots, &ranks, &by_rank, workspaces, &classes)
 }
 
-/// Returns the median growth of the workspaces: offered load divided by average load, at least 1.
-fn median_growth(rows: &[&OfferedRow], equal_part: f64) -> f64 {
-    let growth = |row: &&OfferedRow| {
-        let counted = |load: &RankLoad| load.new + counted_returning(load);
-        row.ranks.iter().map(counted).sum::<f64>() / row.usual
-    };
-    let has_history = |row: &&&OfferedRow| row.usual > MIN_GROWTH_BASE * equal_part;
-    let mut growths: Vec<f64> = rows.iter().filter(has_history).map(growth).collect();
-    if growths.is_empty() {
-        return 1.0;
-    }
-    // The lower median, so that of two workspaces one cannot raise the share of itself.
-    let middle = (growths.len() - 1) / 2;
-    let (_, median, _) = growths.select_nth_unstable_by(middle, f64::total_cmp);
-    median.max(1.0)
+/// Returns the growth of the half of the workspaces that have grown least: their offered load
+/// divided by their average load, at least 1.
+///
+/// The median itself is too large where nearly half of the workspaces have grown much: it is then
+/// one of the largest of the others, most of which is the noise of small workspaces. In one replay
+/// it was 1.8 with 10 of 24 workspaces at ten times their load and the others at their average.
+fn common_growth(rows: &[OfferedRow], equal_part: f64) -> f64 {
+    let counted = |load: &RankLoad| load.new + counted_returning(load);
+    let loads = |row: &OfferedRow| (row.ranks.iter().map(counted).sum::<f64>(), row.usual);
+    let has_history = |row: &&OfferedRow| row.usual > MIN_GROWTH_BASE * equal_part;
+    let mut loads: Vec<(f64, f64)> = rows.iter().filter(has_history).map(loads).collect();
+    loads.sort_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)));
+    loads.truncate(loads.len().div_ceil(2));
+    let (offered, usual) = loads
+        .into_iter()
+        .fold((0.0, 0.0), |sum, (offered, usual)| (sum.0 + offered, sum.1 + usual));
+    if usual > 0.0 { (offered / usual).max(1.0) } else { 1.0 }
 }
 
 /// Returns the load of returning callers that counts as load of their class.
 fn counted_returning(load: &RankLoad) -> f64 {
-    load.returning.min(load.new * RETURNING_SHARE / (1.0 - RETURNING_SHARE))
+    load.returning.min(load.new * RETURNING_PER_NEW)
 }
 
 /// Adds the classes of one workspace, divided into layers.
@@ -241,18 +269,17 @@
     ranks: &[u8],
     share_slots: f64,
 ) {
-    let mut loads = row.ranks.clone();
-    loads.sort_by_key(|load| load.rank);
-    let counted: Vec<f64> = loads.iter().map(|load| load.new + counted_returning(load)).collect();
+    let counted: Vec<f64> =
+        row.ranks.iter().map(|load| load.new + counted_returning(load)).collect();
     // Ranks keep a floor within the share too, so that urgent requests of the workspace leave
     // something to its others.
     let within = rank_amounts(share_slots, &vec![0.0; counted.len()], &counted);
-    for ((load, counted), within) in loads.into_iter().zip(counted).zip(within) {
-        let late = load.returning - counted_returning(&load);
+    for ((load, counted), within) in row.ranks.iter().zip(counted).zip(within) {
+        let late = load.returning - counted_returning(load);
         let excess = counted - within;
         let rank = ranks.partition_point(|rank| *rank < load.rank);
         let layers = [within, excess, late];
-        classes.push(ClassLoad { workspace, rank, load, layers, admitted: [0.0; 3] });
+        classes.push(ClassLoad { workspace, rank, load: *load, layers, admitted: [0.0; 3] });
     }
 }
 
@@ -318,27 +345,33 @@
             rank: *rank,
             offered_slots: 0.0,
             admitted_slots: 0.0,
+            returning_per_new: RETURNING_PER_NEW,
             within_share,
         });
     }
+    let mut returning_by_rank = vec![0.0; ranks.len()];
     for class in classes {
         let admitted: f64 = class.admitted.iter().sum();
+        returning_by_rank[class.rank] += class.admitted_returning();
         rank_plans[class.rank].offered_slots += class.load.new + class.load.returning;
         rank_plans[class.rank].admitted_slots += admitted;
         workspaces[class.workspace].admitted_slots += admitted;
     }
+    for (rank, returning) in rank_plans.iter_mut().zip(returning_by_rank) {
+        let new = (rank.admitted_slots - returning).max(f64::MIN_POSITIVE);
+        rank.returning_per_new = RETURNING_PER_NEW.max(returning / new);
+    }
     let mut plan = Plan { capacity_slots, ranks: rank_plans, workspaces, classes: Vec::new() };
     for class in classes {
         let ClassLoad { load, layers, admitted, .. } = class;
-        let [within, excess, late] = *admitted;
-        let returning = load.returning.min(RETURNING_SHARE * (within + excess));
-        let new = within + excess - returning;
+        let returning = class.admitted_returning();
+        let new = admitted.iter().sum::<f64>() - returning;
         // Without load of new callers, they are treated as those of the rank.
         let rank_fraction = plan.ranks[class.rank].within_share;
         let new = if load.new > 0.0 { fraction(new, load.new) } else { rank_fraction };
         // The first returning caller is ahead of new ones, if any of them is admitted.
         let returning = if load.returning > 0.0 {
-            fraction(returning + late, load.returning)
+            fraction(returning, load.returning)
         } else {
             f64::from(u8::from(new > 0.0))
         };
@@ -347,7 +380,7 @@
             new,
             returning,
             is_marginal: new < 1.0,
-            is_beyond_share: fraction(within, layers[0]) >= 1.0,
+            is_beyond_share: fraction(admitted[0], layers[0]) >= 1.0,
             has_more_urgent: urgent.iter().any(|rank| rank.offered_slots > 0.0),
             ahead_share: plan.ahead_share(class.rank + 1),
         };
--- a/teaselworks_policy/src/shares/service.rs
+++ b/teaselworks_policy/src/shares/service.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::gate::{Gate, GateKey};
-use super::offered::{OfferedLoad, Reader};
+use super::offered::{AdmittedLoad, OfferedLoad, Reader};
 use super::plan::{ClassPlan, Plan, is_overloaded, plan};
 use super::{Admission, OfferedRow, OverloadChange, ServiceStatus, Totals, WorkspaceKey, status};
 use crate::verdict::RefusalReason;
@@ -31,6 +31,9 @@
 #[derive(Debug)]
 pub(super) struct ServiceShares {
     pub offered: OfferedLoad,
+    admitted: AdmittedLoad,
+    /// Slot time of the request that was recorded last, on which `admit` decides.
+    latest_slot_time: Duration,
     totals: Option<(Duration, Totals)>,
     capacity: Capacity,
     planned_at: Option<Duration>,
@@ -44,6 +47,8 @@
     pub fn new(now: Duration) -> Self {
         Self {
             offered: OfferedLoad::new(now),
+            admitted: AdmittedLoad::default(),
+            latest_slot_time: Duration::ZERO,
             totals: None,
             capacity: Capacity { slots: 0.0, routers: 1 },
             planned_at: None,
@@ -54,6 +59,7 @@
     }
 
     pub fn set_totals(&mut self, now: Duration, totals: Totals) {
+        self.offered.on_totals(now, &totals.rows);
         self.totals = Some((now, totals));
     }
 
@@ -79,9 +85,9 @@
         let was_overloaded = self.is_overloaded();
         self.plan = self.new_plan(now);
         if let Some(plan) = &self.plan {
-            self.offered.set_exceeding(now, |workspace| plan.exceeds_share(workspace));
+            self.offered.set_within_share(now, |workspace| plan.within_share(workspace));
         } else if was_overloaded {
-            self.offered.set_exceeding(now, |_| false);
+            self.offered.set_within_share(now, |_| 1.0);
             self.gate.clear();
         }
     }
@@ -119,8 +125,33 @@
         }
     }
 
+    /// Records a request, on which [`ServiceShares::admit`] decides next.
+    pub fn on_request(
+        &mut self,
+        now: Duration,
+        (workspace, rank): (WorkspaceKey, u8),
+        slot_time: Duration,
+        is_returning: bool,
+    ) {
+        self.latest_slot_time = slot_time;
+        self.offered.add(now, workspace, rank, slot_time, is_returning);
+    }
+
     /// Decides on a request by the latest plan.
     pub fn admit(
+        &mut self,
+        now: Duration,
+        key: (WorkspaceKey, u8),
+        is_returning: bool,
+    ) -> Admission {
+        let admission = self.planned_admission(now, key, is_returning);
+        if !matches!(admission, Admission::Refused(_)) {
+            self.admitted.add(now, self.latest_slot_time);
+        }
+        admission
+    }
+
+    fn planned_admission(
         &mut self,
         now: Duration,
         (workspace, rank): (WorkspaceKey, u8),
@@ -135,13 +166,32 @@
             .find_map(|workspace| Some((workspace, *plan.class(workspace, rank)?)));
         let (workspace, class) =
             planned.unwrap_or_else(|| (WorkspaceKey::REST, plan.class_without_load(rank)));
-        let fraction = if is_returning { class.returning } else { class.new };
-        let key = GateKey { workspace, rank, is_returning };
-        if self.gate.admits(now, key, fraction) {
-            let ClassPlan { is_marginal, ahead_share, .. } = class;
-            return Admission::Planned { is_marginal, ahead_share };
+        let capacity_slots = plan.capacity_slots;
+        let returning_per_new = plan.returning_per_new(rank);
+        // With the few requests of one router, the planned fractions admit too much on average: a
+        // class that has sent little by chance is admitted in full.
+        let is_alone = self.recent_totals(now).is_none();
+        let is_admitted = if is_alone
+            && class.is_marginal
+            && !self.admitted.has_room(now, self.latest_slot_time, capacity_slots)
+        {
+            false
+        } else {
+            let key = GateKey { workspace, rank, is_returning };
+            if is_returning {
+                self.gate.admits_returning(now, key, class.returning, returning_per_new)
+            } else {
+                self.gate.admits(now, key, class.new)
+            }
+        };
+        if !is_admitted {
+            return Admission::Refused(refusal_reason(&class));
+        }
+        if !is_returning {
+            self.gate.on_new_admitted(now, rank, returning_per_new);
         }
-        Admission::Refused(refusal_reason(&class))
+        let ClassPlan { is_marginal, ahead_share, .. } = class;
+        Admission::Planned { is_marginal, ahead_share }
     }
 
     pub fn status(&self, now: Duration) -> Option<ServiceStatus> {
