--- a/teaselworks_policy/src/shares/offered.rs
+++ b/teaselworks_policy/src/shares/offered.rs
@@ -147,9 +147,11 @@
 
     /// Returns the row of a workspace; makes room for it if it has none.
     fn row(&mut self, now: Duration, workspace: WorkspaceKey) -> &mut WorkspaceMeans {
-        let is_full = self.rows.len() > MAX_WORKSPACES;
-        if is_full && !self.rows.contains_key(&workspace) && workspace != WorkspaceKey::REST {
-            self.move_least_to_rest(now);
+        if workspace != WorkspaceKey::REST && !self.rows.contains_key(&workspace) {
+            let shared = usize::from(self.rows.contains_key(&WorkspaceKey::REST));
+            if self.rows.len() - shared >= MAX_WORKSPACES {
+                self.move_least_to_rest(now);
+            }
         }
         self.rows.entry(workspace).or_insert_with(|| WorkspaceMeans::new(now))
     }
--- a/teaselworks_policy/src/shares/rank_order.rs
+++ b/teaselworks_policy/src/shares/rank_order.rs
@@ -5,8 +5,11 @@
 const FLOOR: f64 = 0.05;
 /// Bound on all floors together, where a service has more ranks than usual.
 const MAX_FLOORS: f64 = 0.5;
-/// Steps of the bisection; the result is exact to a part in 2^50 of a rank's load.
-const STEPS: u32 = 50;
+/// Bound on the steps of the search for the level at which the amount is used up. Where the amounts
+/// are linear in the level, two are enough.
+const MAX_STEPS: u32 = 100;
+/// Part of the amount that may stay unused, which rounding would otherwise make the search miss.
+const UNUSED: f64 = 1e-10;
 
 /// Returns how much of `amount` each rank gets, the most urgent first, at least `given` and at most
 /// `offered`.
@@ -29,17 +32,24 @@
     }
     let floor = amount * FLOOR.min(MAX_FLOORS / offered.len() as f64);
     // Between -1 and 0, the level raises the floors, and between n and n + 1 the part of rank n.
-    let mut low = -1.0;
-    let mut high = offered.len() as f64;
-    for _ in 0..STEPS {
-        let middle = (low + high) / 2.0;
-        if amounts_at(middle, floor, given, offered).sum::<f64>() <= amount {
-            low = middle;
+    let mut low = (-1.0, given.iter().sum::<f64>());
+    let mut high = (offered.len() as f64, offered.iter().sum::<f64>());
+    for step in 0..MAX_STEPS {
+        if low.1 >= amount * (1.0 - UNUSED) {
+            break;
+        }
+        // Interpolates, and halves the interval in between, which it needs where the sum bends.
+        let part = (amount * (1.0 - UNUSED / 2.0) - low.1) / (high.1 - low.1);
+        let part = if step % 2 == 0 { part.clamp(0.0, 1.0) } else { 0.5 };
+        let level = low.0 + part * (high.0 - low.0);
+        let used = amounts_at(level, floor, given, offered).sum::<f64>();
+        if used <= amount {
+            low = (level, used);
         } else {
-            high = middle;
+            high = (level, used);
         }
     }
-    amounts_at(low, floor, given, offered).collect()
+    amounts_at(low.0, floor, given, offered).collect()
 }
 
 /// Returns the amounts at a level; none of them falls as the level rises.
