--- a/teaselworks_policy/src/shares/offered.rs
+++ b/teaselworks_policy/src/shares/offered.rs
@@ -16,8 +16,8 @@
 const ALONE: Duration = Duration::from_secs(1);
 /// Time constant of the average load, longer than the bursts from which it tells the usual load.
 const USUAL: Duration = Duration::from_secs(30);
-/// Time constant of the average load while a workspace exceeds its share. Only what is within the
-/// share counts then, so that the excess does not become the average.
+/// Time constant of the average load while a workspace exceeds its share. At most what is
+/// within the share counts then, so that the excess does not become the average.
 const USUAL_IN_EXCESS: Duration = Duration::from_secs(60);
 /// Multiple of the age of the table that takes the place of [`USUAL_IN_EXCESS`] while it is shorter.
 /// With the age itself, an excess would become the average within seconds after a start.
@@ -79,8 +79,8 @@
 struct WorkspaceMeans {
     updated_at: Duration,
     usual: f64,
-    /// Part of the offered load that is within the share.
-    within_share: f64,
+    /// Part of the offered load that counts for the average load; below 1 beyond the share.
+    averaged_part: f64,
     ranks: Vec<RankMeans>,
 }
 
@@ -117,7 +117,7 @@
         let growth = growth.copied().unwrap_or(1.0);
         let row = self.row(now, workspace);
         row.advance(now, started_at);
-        let counted = row.within_share.min(1.0 / growth);
+        let counted = row.averaged_part.min(1.0 / growth);
         row.usual += counted * slot_time.div_duration_f64(row.usual_time_constant().at_age(age));
         let means = row.rank(rank);
         for (load, time_constant) in [(&mut means.fast, FAST), (&mut means.alone, ALONE)] {
@@ -199,11 +199,16 @@
         rows
     }
 
-    /// Records which part of the load of each workspace is within its share.
-    pub fn set_within_share(&mut self, now: Duration, within_share: impl Fn(WorkspaceKey) -> f64) {
+    /// Records which part of the load of each workspace counts for its average load; 1 for those
+    /// that are within their share.
+    pub fn set_averaged_parts(
+        &mut self,
+        now: Duration,
+        averaged_part: impl Fn(WorkspaceKey) -> f64,
+    ) {
         for (workspace, row) in &mut self.rows {
             row.advance(now, self.started_at);
-            row.within_share = within_share(*workspace);
+            row.averaged_part = averaged_part(*workspace);
         }
     }
 
@@ -215,7 +220,7 @@
 
 impl WorkspaceMeans {
     fn new(now: Duration) -> Self {
-        Self { updated_at: now, usual: 0.0, within_share: 1.0, ranks: Vec::new() }
+        Self { updated_at: now, usual: 0.0, averaged_part: 1.0, ranks: Vec::new() }
     }
 
     /// Returns the load by which the rows that are kept are chosen.
@@ -225,7 +230,7 @@
     }
 
     fn usual_time_constant(&self) -> UsualTimeConstant {
-        if self.within_share < 1.0 {
+        if self.averaged_part < 1.0 {
             UsualTimeConstant { age_factor: AGE_FACTOR_IN_EXCESS, most: USUAL_IN_EXCESS }
         } else {
             UsualTimeConstant { age_factor: 1.0, most: USUAL }
--- a/teaselworks_policy/src/shares/plan.rs
+++ b/teaselworks_policy/src/shares/plan.rs
@@ -16,7 +16,12 @@
 const OVERLOAD_ENDS: f64 = 0.8;
 /// Multiple of a workspace's average load that is within its share when the others have not grown.
 /// The load of workspaces varies by this factor within minutes without any cause.
-const SHARE_HEADROOM: f64 = 1.5;
+const MAX_HEADROOM: f64 = 1.5;
+/// The same where the shares do not fit into the capacity. The offered load of small workspaces
+/// varies by this factor within a second.
+const MIN_HEADROOM: f64 = 1.2;
+/// Halvings of the interval in which the headroom is searched; it is then exact to a millionth.
+const HEADROOM_STEPS: u32 = 18;
 /// Part of the admitted load of a class that returning callers may take. Their answers are late
 /// already, and the same slots answer new callers in time.
 const RETURNING_SHARE: f64 = 0.1;
@@ -82,6 +87,8 @@
     pub admitted_slots: f64,
     /// Share of the workspace in slots.
     pub share_slots: f64,
+    /// Part of the offered load that counts for the average load, where it exceeds the share.
+    averaged_slots: f64,
     /// Whether the workspace offers more than its share.
     pub exceeds_share: bool,
 }
@@ -129,13 +136,13 @@
         }
     }
 
-    /// Returns the part of a workspace's offered load that is within its share.
-    pub fn within_share(&self, workspace: WorkspaceKey) -> f64 {
+    /// Returns the part of a workspace's offered load that counts for its average load; 1 if it is
+    /// within its share.
+    pub fn averaged_part(&self, workspace: WorkspaceKey) -> f64 {
         let index = self.workspaces.binary_search_by_key(&workspace, |row| row.workspace);
-        let row = index.map(|index| &self.workspaces[index]);
-        row.map_or(1.0, |row| {
-            if row.exceeds_share { fraction(row.share_slots, row.offered_slots) } else { 1.0 }
-        })
+        let exceeding = index.map(|index| &self.workspaces[index]).ok();
+        let exceeding = exceeding.filter(|row| row.exceeds_share);
+        exceeding.map_or(1.0, |row| fraction(row.averaged_slots, row.offered_slots))
     }
 
     /// Returns the admitted load of returning callers of a rank per admitted load of new ones.
@@ -212,10 +219,15 @@
 
     let equal_part = capacity_slots / rows.len().max(1) as f64;
     let growth = common_growth(&rows, equal_part);
+    let headroom = headroom(capacity_slots, &rows, equal_part, growth);
+    // With less headroom, less of an excess counts for the average, and with the least none.
+    let spare = (headroom - MIN_HEADROOM) / (MAX_HEADROOM - MIN_HEADROOM);
+    let averaged = 1.0 + spare * (MAX_HEADROOM - 1.0);
     let mut workspaces: Vec<WorkspacePlan> = Vec::with_capacity(rows.len());
     let mut classes: Vec<ClassLoad> = Vec::new();
     for (index, row) in rows.iter().enumerate() {
-        let share_slots = equal_part.max(SHARE_HEADROOM * growth * row.usual);
+        let share_slots = equal_part.max(headroom * growth * row.usual);
+        let averaged_slots = equal_part.max(averaged * growth * row.usual);
         let first = classes.len();
         push_classes(&mut classes, index, row, &ranks, share_slots);
         let exceeds_share = classes[first..].iter().any(|class| class.layers[1] > 0.0);
@@ -226,6 +238,7 @@
             offered_slots,
             admitted_slots: 0.0,
             share_slots,
+            averaged_slots,
             exceeds_share,
         });
     }
@@ -244,8 +257,7 @@
 /// one of the largest of the others, most of which is the noise of small workspaces. In one replay
 /// it was 1.8 with 10 of 24 workspaces at ten times their load and the others at their average.
 fn common_growth(rows: &[OfferedRow], equal_part: f64) -> f64 {
-    let counted = |load: &RankLoad| load.new + counted_returning(load);
-    let loads = |row: &OfferedRow| (row.ranks.iter().map(counted).sum::<f64>(), row.usual);
+    let loads = |row: &OfferedRow| (counted_slots(row), row.usual);
     let has_history = |row: &&OfferedRow| row.usual > MIN_GROWTH_BASE * equal_part;
     let mut loads: Vec<(f64, f64)> = rows.iter().filter(has_history).map(loads).collect();
     loads.sort_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)));
@@ -256,6 +268,37 @@
     if usual > 0.0 { (offered / usual).max(1.0) } else { 1.0 }
 }
 
+/// Returns the headroom with which the load within shares fits into the capacity.
+///
+/// Shares that do not fit take from each other by rank, so that a workspace beyond its average takes
+/// from the less urgent ranks of those that are not.
+fn headroom(capacity_slots: f64, rows: &[OfferedRow], equal_part: f64, growth: f64) -> f64 {
+    let fits = |headroom: f64| {
+        let within = |row: &OfferedRow| {
+            counted_slots(row).min(equal_part.max(headroom * growth * row.usual))
+        };
+        rows.iter().map(within).sum::<f64>() <= capacity_slots
+    };
+    if fits(MAX_HEADROOM) {
+        return MAX_HEADROOM;
+    }
+    let (mut low, mut high) = (MIN_HEADROOM, MAX_HEADROOM);
+    for _ in 0..HEADROOM_STEPS {
+        let middle = (low + high) / 2.0;
+        if fits(middle) {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    low
+}
+
+/// Returns the load of a workspace that counts.
+fn counted_slots(row: &OfferedRow) -> f64 {
+    row.ranks.iter().map(|load| load.new + counted_returning(load)).sum()
+}
+
 /// Returns the load of returning callers that counts as load of their class.
 fn counted_returning(load: &RankLoad) -> f64 {
     load.returning.min(load.new * RETURNING_PER_NEW)
--- a/teaselworks_policy/src/shares/service.rs
+++ b/teaselworks_policy/src/shares/service.rs
@@ -85,9 +85,9 @@
         let was_overloaded = self.is_overloaded();
         self.plan = self.new_plan(now);
         if let Some(plan) = &self.plan {
-            self.offered.set_within_share(now, |workspace| plan.within_share(workspace));
+            self.offered.set_averaged_parts(now, |workspace| plan.averaged_part(workspace));
         } else if was_overloaded {
-            self.offered.set_within_share(now, |_| 1.0);
+            self.offered.set_averaged_parts(now, |_| 1.0);
             self.gate.clear();
         }
     }
