--- a/teaselworks_policy/src/shares/mod.rs
+++ b/teaselworks_policy/src/shares/mod.rs
@@ -58,6 +58,19 @@
     }
 
     /// Records a request of a caller; it counts as offered load whether it is admitted or not.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use teaselworks_policy::demand::Demand;
+    /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
+    /// # let now = Duration::from_secs(1);
+    /// # let service = "chat".into();
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// let class = Class { rank: 2, workspace: Some("search".into()) };
+    /// let demand = Demand { slot_time: Duration::from_millis(600) };
+    /// shares.on_request(now, &service, &class, demand, true);
+    /// assert_eq!(shares.own_rows(now, "chat")[0].ranks[0].returning, 2.0);
+    /// ```
     pub fn on_request(
         &mut self,
         now: Duration,
@@ -78,6 +91,23 @@
     ///
     /// `capacity_slots` is the capacity of the whole service, and `routers` the number of routers
     /// that this router knows of, itself included.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use teaselworks_policy::demand::Demand;
+    /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
+    /// # let now = Duration::from_secs(1);
+    /// # let service = "chat".into();
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// let demand = Demand { slot_time: Duration::from_secs(30) };
+    /// for rank in [0, 1] {
+    ///     let class = Class { rank, workspace: None };
+    ///     shares.on_request(now, &service, &class, demand, false);
+    /// }
+    /// let class = Class { rank: 0, workspace: None };
+    /// let admission = shares.admit(now, &service, &class, false, 40.0, 1);
+    /// assert!(matches!(admission, Admission::Planned { is_marginal: false, .. }));
+    /// ```
     pub fn admit(
         &mut self,
         now: Duration,
@@ -114,6 +144,18 @@
     }
 
     /// Records the latest totals of a service, which replace the earlier ones.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use teaselworks_policy::demand::Demand;
+    /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
+    /// # let now = Duration::from_secs(1);
+    /// # let service = "chat".into();
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// let age = Duration::from_millis(300);
+    /// shares.set_totals(now, &service, Totals { rows: vec![], in_progress: 7.0, routers: 64, age });
+    /// assert_eq!(shares.status(now, "chat").unwrap().totals_age, Some(age));
+    /// ```
     pub fn set_totals(&mut self, now: Duration, service: &Arc<str>, mut totals: Totals) {
         if !self.settings.is_enabled() {
             return;
@@ -124,16 +166,64 @@
 
     /// Returns the requests in progress at a service over all routers; `None` where the totals are
     /// missing or too old.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use teaselworks_policy::demand::Demand;
+    /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
+    /// # let now = Duration::from_secs(1);
+    /// # let service = "chat".into();
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// let age = Duration::from_millis(300);
+    /// shares.set_totals(now, &service, Totals { rows: vec![], in_progress: 7.0, routers: 64, age });
+    /// assert_eq!(shares.in_progress(now, "chat"), Some(7.0));
+    /// assert_eq!(shares.in_progress(now + Duration::from_secs(1), "chat"), None);
+    /// ```
     pub fn in_progress(&self, now: Duration, service: &str) -> Option<f64> {
         Some(self.services.get(service)?.recent_totals(now)?.in_progress)
     }
 
     /// Returns whether a service was overloaded when the latest plan was made.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use teaselworks_policy::demand::Demand;
+    /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
+    /// # let now = Duration::from_secs(1);
+    /// # let service = "chat".into();
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// let demand = Demand { slot_time: Duration::from_secs(30) };
+    /// for rank in [0, 1] {
+    ///     let class = Class { rank, workspace: None };
+    ///     shares.on_request(now, &service, &class, demand, false);
+    /// }
+    /// let class = Class { rank: 0, workspace: None };
+    /// let admission = shares.admit(now, &service, &class, false, 40.0, 1);
+    /// assert!(shares.is_overloaded("chat"));
+    /// ```
     pub fn is_overloaded(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(ServiceShares::is_overloaded)
     }
 
     /// Returns the state of a service for operators; `None` if no request to it was recorded.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use teaselworks_policy::demand::Demand;
+    /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
+    /// # let now = Duration::from_secs(1);
+    /// # let service = "chat".into();
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// let demand = Demand { slot_time: Duration::from_secs(30) };
+    /// for rank in [0, 1] {
+    ///     let class = Class { rank, workspace: None };
+    ///     shares.on_request(now, &service, &class, demand, false);
+    /// }
+    /// let class = Class { rank: 0, workspace: None };
+    /// let admission = shares.admit(now, &service, &class, false, 40.0, 1);
+    /// let status = shares.status(now, "chat").unwrap();
+    /// assert_eq!((status.is_overloaded, status.offered_slots), (true, 60.0));
+    /// ```
     pub fn status(&self, now: Duration, service: &str) -> Option<ServiceStatus> {
         self.services.get(service)?.status(now)
     }
@@ -141,6 +231,24 @@
     /// Returns the services that have become overloaded or no longer are since the last call.
     ///
     /// A service that gets no more requests is no longer overloaded, which this call notices.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use teaselworks_policy::demand::Demand;
+    /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
+    /// # let now = Duration::from_secs(1);
+    /// # let service = "chat".into();
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// let demand = Demand { slot_time: Duration::from_secs(30) };
+    /// for rank in [0, 1] {
+    ///     let class = Class { rank, workspace: None };
+    ///     shares.on_request(now, &service, &class, demand, false);
+    /// }
+    /// let class = Class { rank: 0, workspace: None };
+    /// let admission = shares.admit(now, &service, &class, false, 40.0, 1);
+    /// assert!(shares.take_overload_changes(now)[0].is_overloaded);
+    /// assert!(shares.take_overload_changes(now).is_empty());
+    /// ```
     pub fn take_overload_changes(&mut self, now: Duration) -> Vec<OverloadChange> {
         let mut changes = Vec::new();
         for (service, state) in &mut self.services {
--- a/teaselworks_policy/src/shares/offered_row.rs
+++ b/teaselworks_policy/src/shares/offered_row.rs
@@ -28,6 +28,14 @@
 
 impl OfferedRow {
     /// Returns the load of all ranks, of new and returning callers.
+    ///
+    /// ```
+    /// use teaselworks_policy::shares::{OfferedRow, RankLoad, WorkspaceKey};
+    ///
+    /// let ranks = vec![RankLoad { rank: 0, new: 3.0, returning: 1.0 }];
+    /// let row = OfferedRow { workspace: WorkspaceKey::REST, usual: 2.0, ranks };
+    /// assert_eq!(row.offered_slots(), 4.0);
+    /// ```
     pub fn offered_slots(&self) -> f64 {
         self.ranks.iter().map(|load| load.new + load.returning).sum()
     }
--- a/teaselworks_policy/src/shares/plan.rs
+++ b/teaselworks_policy/src/shares/plan.rs
@@ -71,6 +71,14 @@
 
 impl RankPlan {
     /// Returns the admitted fraction of the offered load.
+    ///
+    /// ```
+    /// # use teaselworks_policy::shares::{OfferedRow, RankLoad, WorkspaceKey, plan};
+    /// # let ranks = [0, 1].map(|rank| RankLoad { rank, new: 80.0, returning: 0.0 }).to_vec();
+    /// # let workspace = WorkspaceKey::of("search");
+    /// let plan = plan(100.0, &[OfferedRow { workspace, usual: 20.0, ranks }]);
+    /// assert!((plan.ranks[1].admitted_fraction() - 0.25).abs() < 1e-6);
+    /// ```
     pub fn admitted_fraction(&self) -> f64 {
         fraction(self.admitted_slots, self.offered_slots)
     }
@@ -95,6 +103,14 @@
 
 impl WorkspacePlan {
     /// Returns the admitted fraction of the offered load.
+    ///
+    /// ```
+    /// # use teaselworks_policy::shares::{OfferedRow, RankLoad, WorkspaceKey, plan};
+    /// # let ranks = [0, 1].map(|rank| RankLoad { rank, new: 80.0, returning: 0.0 }).to_vec();
+    /// # let workspace = WorkspaceKey::of("search");
+    /// let plan = plan(100.0, &[OfferedRow { workspace, usual: 20.0, ranks }]);
+    /// assert!((plan.workspaces[0].admitted_fraction() - 0.625).abs() < 1e-6);
+    /// ```
     pub fn admitted_fraction(&self) -> f64 {
         fraction(self.admitted_slots, self.offered_slots)
     }
@@ -115,6 +131,14 @@
 
 impl Plan {
     /// Returns the decision on a class that is in the offered load.
+    ///
+    /// ```
+    /// # use teaselworks_policy::shares::{OfferedRow, RankLoad, WorkspaceKey, plan};
+    /// # let ranks = [0, 1].map(|rank| RankLoad { rank, new: 80.0, returning: 0.0 }).to_vec();
+    /// # let workspace = WorkspaceKey::of("search");
+    /// let plan = plan(100.0, &[OfferedRow { workspace, usual: 20.0, ranks }]);
+    /// assert!(plan.class(workspace, 0).is_some() && plan.class(workspace, 2).is_none());
+    /// ```
     pub fn class(&self, workspace: WorkspaceKey, rank: u8) -> Option<&ClassPlan> {
         let index = self.classes.binary_search_by_key(&(workspace, rank), |(key, _)| *key).ok()?;
         Some(&self.classes[index].1)
@@ -123,6 +147,14 @@
     /// Returns the decision on a class that is not in the offered load: it is within the share of
     /// its workspace, and is treated as its rank, or as the next more urgent one if the rank has no
     /// load either.
+    ///
+    /// ```
+    /// # use teaselworks_policy::shares::{OfferedRow, RankLoad, WorkspaceKey, plan};
+    /// # let ranks = [0, 1].map(|rank| RankLoad { rank, new: 80.0, returning: 0.0 }).to_vec();
+    /// # let workspace = WorkspaceKey::of("search");
+    /// let plan = plan(100.0, &[OfferedRow { workspace, usual: 20.0, ranks }]);
+    /// assert!((plan.class_without_load(2).new - 0.25).abs() < 1e-6);
+    /// ```
     pub fn class_without_load(&self, rank: u8) -> ClassPlan {
         let next = self.ranks.partition_point(|known| known.rank <= rank);
         let admitted = self.ranks[..next].last().map_or(1.0, |known| known.within_share);
@@ -138,6 +170,14 @@
 
     /// Returns the part of a workspace's offered load that counts for its average load; 1 if it is
     /// within its share.
+    ///
+    /// ```
+    /// # use teaselworks_policy::shares::{OfferedRow, RankLoad, WorkspaceKey, plan};
+    /// # let ranks = [0, 1].map(|rank| RankLoad { rank, new: 80.0, returning: 0.0 }).to_vec();
+    /// # let workspace = WorkspaceKey::of("search");
+    /// let plan = plan(100.0, &[OfferedRow { workspace, usual: 20.0, ranks }]);
+    /// assert_eq!(plan.averaged_part(workspace), 1.0);
+    /// ```
     pub fn averaged_part(&self, workspace: WorkspaceKey) -> f64 {
         let index = self.workspaces.binary_search_by_key(&workspace, |row| row.workspace);
         let exceeding = index.map(|index| &self.workspaces[index]).ok();
