--- a/teaselworks_policy/tests/shares_replay.rs
+++ b/teaselworks_policy/tests/shares_replay.rs
@@ -309,8 +309,8 @@
 /// tenth of the capacity.
 ///
 /// It takes the mean of some replays, since a plan that oscillates does so from when the load grows,
-/// while the noise of arrivals differs between them: of one replay, a standard deviation is 0.03 to
-/// 0.045 of the capacity.
+/// while the noise of arrivals differs between them: of one replay, a standard deviation is 0.023 to
+/// 0.046 of the capacity, and 4 of 480 seconds (0.896 to 1.123) were beyond the bound.
 fn assert_steady(outcomes: &[Outcome], scene: Scene, context: &str) {
     for second in STEADY_FROM..scene.end.as_secs() {
         let parts = outcomes.iter().map(|outcome| outcome.seconds[&second] / scene.capacity);
