--- a/teaselworks/src/daemon/overload.rs
+++ b/teaselworks/src/daemon/overload.rs
@@ -89,7 +89,8 @@
 fn log(event: Event, service: &str, status: &ServiceStatus, more: &[Field<'_>]) {
     let totals_age_ms = status.totals_age.map_or(-1, |age| age.as_millis() as i64);
     let admitted = by_rank(status.admitted_by_rank.iter().copied());
-    let offered_slots = format_args!("{:.1}", status.offered_slots);
+    // The sum of no load is -0.0.
+    let offered_slots = format_args!("{:.1}", status.offered_slots + 0.0);
     let capacity_slots = format_args!("{:.1}", status.capacity_slots);
     let mut fields = vec![
         event::text("service", &service),
--- a/teaselworks/src/metrics/admission.rs
+++ b/teaselworks/src/metrics/admission.rs
@@ -77,7 +77,7 @@
         let gauges = ServiceGauges::new();
         for (service, status) in &self.services {
             gauges.set(service, status);
-            for (workspace, row) in self.by_name(&status.workspaces) {
+            for (workspace, row) in self.by_name(status) {
                 gauges.set_workspace(service, workspace, &row);
             }
         }
@@ -85,9 +85,9 @@
     }
 
     /// Returns the rows by the label of their workspace.
-    fn by_name(&self, rows: &[WorkspaceStatus]) -> BTreeMap<&str, WorkspaceStatus> {
+    fn by_name(&self, status: &ServiceStatus) -> BTreeMap<&str, WorkspaceStatus> {
         let mut by_name: BTreeMap<&str, WorkspaceStatus> = BTreeMap::new();
-        for row in rows {
+        for row in status.workspaces.iter().chain(&status.rest) {
             let name = self.workspace_names.get(&row.workspace).map_or(REST, |name| name);
             let sum = by_name.get(name).map_or(*row, |known| known.plus(row));
             by_name.insert(name, sum);
@@ -104,8 +104,6 @@
     admitted_fraction: GaugeVec,
     workspace_offered_slots: GaugeVec,
     workspace_admitted_fraction: GaugeVec,
-    totals_age: GaugeVec,
-    totals_routers: GaugeVec,
 }
 
 impl ServiceGauges {
@@ -141,38 +139,25 @@
                 "Admitted fraction of the load of the most loaded workspaces.",
                 &["service", "workspace"],
             ),
-            totals_age: gauge(
-                "teaselworks_totals_age_ms",
-                "Age of the oldest part of the offered load summed over routers, by service.",
-                &["service"],
-            ),
-            totals_routers: gauge(
-                "teaselworks_totals_routers",
-                "Routers in the offered load summed over routers, by service; 0 without it.",
-                &["service"],
-            ),
         }
     }
 
     fn set(&self, service: &str, status: &ServiceStatus) {
         let is_overloaded = f64::from(u8::from(status.is_overloaded));
         self.is_overloaded.with_label_values(&[service]).set(is_overloaded);
-        self.offered_slots.with_label_values(&[service]).set(status.offered_slots);
+        self.offered_slots.with_label_values(&[service]).set(unsigned_zero(status.offered_slots));
         self.capacity_slots.with_label_values(&[service]).set(status.capacity_slots);
         for (rank, fraction) in &status.admitted_by_rank {
             let labels = [service, &rank.to_string()];
             self.admitted_fraction.with_label_values(&labels).set(*fraction);
         }
-        if let Some(age) = status.totals_age {
-            self.totals_age.with_label_values(&[service]).set(age.as_millis() as f64);
-        }
-        let routers = f64::from(status.totals_routers);
-        self.totals_routers.with_label_values(&[service]).set(routers);
     }
 
     fn set_workspace(&self, service: &str, workspace: &str, row: &WorkspaceStatus) {
         let labels = [service, workspace];
-        self.workspace_offered_slots.with_label_values(&labels).set(row.offered_slots);
+        self.workspace_offered_slots
+            .with_label_values(&labels)
+            .set(unsigned_zero(row.offered_slots));
         self.workspace_admitted_fraction.with_label_values(&labels).set(row.admitted_fraction);
     }
 
@@ -186,8 +171,6 @@
             self.admitted_fraction,
             self.workspace_offered_slots,
             self.workspace_admitted_fraction,
-            self.totals_age,
-            self.totals_routers,
         ] {
             registry.register(Box::new(gauge)).expect("the names of the gauges differ");
         }
@@ -195,6 +178,11 @@
     }
 }
 
+/// Returns zero for -0.0, which is the sum of no numbers, and other values as they are.
+fn unsigned_zero(sum: f64) -> f64 {
+    sum + 0.0
+}
+
 fn gauge(name: &str, description: &str, labels: &[&str]) -> GaugeVec {
     GaugeVec::new(Opts::new(name, description), labels).expect("name and labels are valid")
 }
--- a/teaselworks/tests/admission_metrics.rs
+++ b/teaselworks/tests/admission_metrics.rs
@@ -10,7 +10,8 @@
     let row = |workspace| WorkspaceStatus { workspace, offered_slots: 2.0, admitted_fraction: 0.5 };
     let keys = names.iter().map(|name| WorkspaceKey::of(name));
     let status = ServiceStatus {
-        workspaces: keys.clone().chain([WorkspaceKey::REST]).map(row).collect(),
+        workspaces: keys.clone().map(row).collect(),
+        rest: Some(row(WorkspaceKey::REST)),
         ..ServiceStatus::default()
     };
     let names = names.iter().map(|name| Arc::from(name.as_str()));
@@ -48,6 +49,18 @@
     assert!(!metrics.to_text(&SharesReport::default()).contains("workspace="));
 }
 
+/// Guards against load that is shown as `-0` where there is none.
+#[test]
+fn no_load_is_shown_as_zero() {
+    let idle = ServiceStatus { offered_slots: -0.0, ..ServiceStatus::default() };
+    let services = vec![("chat".into(), idle)];
+    let page = Metrics::new().to_text(&SharesReport { services, ..SharesReport::default() });
+    assert!(
+        page.lines().any(|line| line == "teaselworks_offered_slots{service=\"chat\"} 0"),
+        "{page}"
+    );
+}
+
 /// Guards against a workspace that other routers know, and this one does not, with a label of its
 /// own, and against load that is lost with it.
 #[test]
--- a/teaselworks/tests/overload.rs
+++ b/teaselworks/tests/overload.rs
@@ -14,7 +14,7 @@
 use teaselworks_standin::configuration::{
     ARCHIVE_SERVICE, HOST, TestConfiguration, upstream_entry,
 };
-use teaselworks_standin::fleet::Fleet;
+use teaselworks_standin::fleet::{Fleet, wait_until};
 use teaselworks_standin::router::Router;
 use teaselworks_standin::upstream::{Script, Step};
 
@@ -102,6 +102,13 @@
     counts
 }
 
+/// Returns the rank of a workspace's requests by the log of a router.
+fn rank(router: &Router, workspace: &str) -> String {
+    let placed = router.events("request_placed");
+    let line = placed.iter().find(|line| line["workspace"] == workspace).unwrap();
+    line["rank"].as_str().unwrap().to_owned()
+}
+
 /// Returns the value of the metric with a name and labels; `None` if the page lacks it.
 async fn metric(router: &Router, name: &str, labels: &[(&str, &str)]) -> Option<f64> {
     let page = router.metrics().await.unwrap();
@@ -120,13 +127,14 @@
 async fn an_overloaded_service_refuses_the_less_urgent_requests() {
     let fleet = start(&json!({ "by_priority": true }), [0, 2]).await;
     let streams = [("choir", SPARSE, 6_000), ("strings", DENSE, 6_000)];
+    let [first, second] = ["choir", "strings"].map(|workspace| rank(&fleet.routers[0], workspace));
     let (counts, fractions) = tokio::join!(send_all(&fleet, &streams, 5), async {
         tokio::time::sleep(Duration::from_secs(4)).await;
-        let fraction = async |rank| {
+        let fraction = async |rank: &str| {
             let labels = [("service", "archive"), ("rank", rank)];
             metric(&fleet.routers[0], "teaselworks_admitted_fraction", &labels).await.unwrap()
         };
-        [fraction("0").await, fraction("2").await]
+        [fraction(&first).await, fraction(&second).await]
     });
     let [(urgent, all_urgent), (other, all_other)] = counts[..] else { unreachable!() };
     assert!(urgent * 20 >= all_urgent * 19, "{urgent} of {all_urgent} urgent requests served");
@@ -140,17 +148,19 @@
         assert!(begun.len() <= 3 && ended.len() <= 3, "{} lines", begun.len());
         assert_eq!(begun[0]["service"], "archive");
         let lowest = ended[0]["lowest_admitted"].as_str().unwrap();
-        assert!(lowest.starts_with("0:1.000,2:0."), "{ended:?}");
+        let (urgent, other) = lowest.split_once(',').unwrap();
+        assert_eq!(urgent, format!("{first}:1.000"), "{lowest}");
+        assert!(other.starts_with(&format!("{second}:0.")), "{lowest}");
         let refused = refusals(router);
         let by_rank = refused[&("rank".to_owned(), "strings".to_owned())];
         assert!(
             !refused.keys().any(|(reason, workspace)| reason == "rank" && workspace == "choir")
         );
         assert!(by_rank > 20, "{refused:?}");
-        let labels = [("service", "archive"), ("rank", "2"), ("reason", "rank")];
+        let labels = [("service", "archive"), ("rank", &second), ("reason", "rank")];
         let counted = metric(router, "teaselworks_refused_requests_total", &labels).await;
         assert_eq!(counted, Some(by_rank as f64));
-        let labels = [("service", "archive"), ("rank", "0")];
+        let labels = [("service", "archive"), ("rank", &first)];
         let admitted = metric(router, "teaselworks_admitted_requests_total", &labels).await;
         assert!(admitted.is_some_and(|admitted| admitted >= 20.0), "{admitted:?}");
         let is_over = metric(router, "teaselworks_service_overloaded", &[("service", "archive")]);
@@ -158,6 +168,35 @@
     }
 }
 
+/// Guards against a workspace that takes the slots of others by sending many times its usual load,
+/// and against returning callers that operators cannot tell from new ones.
+#[tokio::test]
+async fn a_workspace_beyond_its_share_is_cut_back() {
+    let fleet = start(&json!({ "workspace_shares": true }), [1, 1]).await;
+    send_all(&fleet, &[("choir", SPARSE, 6_000), ("strings", SPARSE, 6_000)], 10).await;
+    let streams = [("choir", SPARSE, 6_000), ("strings", DENSE, 6_000)];
+    let (counts, _) = tokio::join!(send_all(&fleet, &streams, 5), async {
+        // Callers count as returning only once others were refused.
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        send_all(&fleet, &[("strings", SPARSE, 4_000)], 3).await
+    });
+    let (others, all_others) = counts[0];
+    assert!(others * 20 >= all_others * 19, "{others} of {all_others} other requests served");
+    for router in &fleet.routers {
+        let refused = refusals(router);
+        let is_cut = |(reason, workspace): &(String, String)| {
+            reason == "workspace_share" && workspace == "strings"
+        };
+        assert!(refused.keys().any(is_cut), "{refused:?}");
+        let has_returned = |line: &Value| line["is_late"] == "true" && line["rank"] != "-1";
+        let is_seen = async || router.events("request_refused").iter().any(has_returned);
+        wait_until("a returning caller is refused again", is_seen).await.unwrap();
+        let labels = [("service", "archive"), ("workspace", "strings")];
+        let offered = metric(router, "teaselworks_workspace_offered_slots", &labels).await;
+        assert!(offered.is_some());
+    }
+}
+
 /// Guards against refusals by rank or share, and traces of them, where the settings do not ask for
 /// it.
 #[tokio::test]
@@ -171,10 +210,11 @@
         assert!(!refusals(router).keys().any(divided));
         assert!(router.events("service_overloaded").is_empty());
         let page = router.metrics().await.unwrap();
-        for name in ["admitted_fraction", "offered_slots", "service_overloaded", "totals"] {
+        for name in ["admitted_fraction", "offered_slots", "service_overloaded", "load_totals"] {
             assert!(!page.contains(&format!("teaselworks_{name}")), "{name}");
         }
-        let labels = [("service", "archive"), ("rank", "2")];
+        let rank = rank(router, "strings");
+        let labels = [("service", "archive"), ("rank", &*rank)];
         let admitted = metric(router, "teaselworks_admitted_requests_total", &labels).await;
         assert!(admitted.is_some_and(|admitted| admitted > 0.0));
     }
--- a/teaselworks_policy/src/shares/plan.rs
+++ b/teaselworks_policy/src/shares/plan.rs
@@ -45,7 +45,7 @@
     pub returning: f64,
     /// Whether only a part of the class is admitted.
     pub is_marginal: bool,
-    /// Whether what is refused of the class is beyond its workspace's share.
+    /// Whether most of what is refused of the class is beyond its workspace's share.
     pub is_beyond_share: bool,
     /// Whether load of a more urgent rank is offered.
     pub has_more_urgent: bool,
@@ -463,7 +463,7 @@
             new,
             returning,
             is_marginal: new < 1.0,
-            is_beyond_share: fraction(admitted[0], layers[0]) >= 1.0,
+            is_beyond_share: layers[1] - admitted[1] > layers[0] - admitted[0],
             has_more_urgent: urgent.iter().any(|rank| rank.offered_slots > 0.0),
             ahead_share: plan.ahead_share(class.rank + 1),
         };
--- a/teaselworks_policy/src/shares/service.rs
+++ b/teaselworks_policy/src/shares/service.rs
@@ -196,7 +196,7 @@
 
     pub fn status(&self, now: Duration) -> Option<ServiceStatus> {
         let (slots, rows) = self.slots_and_rows(now);
-        let (admitted_by_rank, workspaces) = status::admitted(self.plan.as_ref(), &rows);
+        let (admitted_by_rank, workspaces, rest) = status::admitted(self.plan.as_ref(), &rows);
         let totals = self.totals.as_ref();
         Some(ServiceStatus {
             is_overloaded: self.is_overloaded(),
@@ -204,6 +204,7 @@
             offered_slots: rows.iter().map(OfferedRow::offered_slots).sum(),
             admitted_by_rank,
             workspaces,
+            rest,
             totals_age: totals.map(|(at, totals)| now.saturating_sub(*at) + totals.age),
             totals_routers: totals.map_or(0, |(_, totals)| totals.routers),
         })
--- a/teaselworks_policy/src/shares/status.rs
+++ b/teaselworks_policy/src/shares/status.rs
@@ -20,9 +20,10 @@
     pub offered_slots: f64,
     /// Admitted fraction by rank, the most urgent first; 1 while the service is not overloaded.
     pub admitted_by_rank: Vec<(u8, f64)>,
-    /// The workspaces with the largest offered load, the largest first; at most 32. All others
-    /// follow as one row of the key [`WorkspaceKey::REST`].
+    /// The workspaces with the largest offered load, the largest first; at most 32.
     pub workspaces: Vec<WorkspaceStatus>,
+    /// All other workspaces as one row; `None` if there are none.
+    pub rest: Option<WorkspaceStatus>,
     /// Age of the totals; `None` if there are none.
     pub totals_age: Option<Duration>,
     /// Number of routers in the totals.
@@ -76,11 +77,11 @@
     pub capacity_slots: f64,
 }
 
-/// Returns the admitted fraction by rank, and the most loaded workspaces.
+/// Returns the admitted fraction by rank, the most loaded workspaces, and the others as one row.
 pub(super) fn admitted(
     plan: Option<&Plan>,
     rows: &[OfferedRow],
-) -> (Vec<(u8, f64)>, Vec<WorkspaceStatus>) {
+) -> (Vec<(u8, f64)>, Vec<WorkspaceStatus>, Option<WorkspaceStatus>) {
     let mut by_rank: Vec<(u8, f64)>;
     let mut workspaces: Vec<WorkspaceStatus>;
     match plan {
@@ -107,14 +108,9 @@
             workspaces = rows.collect();
         }
     }
-    let is_rest = |row: &WorkspaceStatus| row.workspace == WorkspaceKey::REST;
-    workspaces.sort_by(|a, b| {
-        is_rest(a).cmp(&is_rest(b)).then(b.offered_slots.total_cmp(&a.offered_slots))
-    });
-    if workspaces.len() > MAX_WORKSPACES {
-        let others = workspaces.split_off(MAX_WORKSPACES).into_iter();
-        let sum = others.reduce(|sum, row| sum.plus(&row));
-        workspaces.extend(sum.map(|sum| WorkspaceStatus { workspace: WorkspaceKey::REST, ..sum }));
-    }
-    (by_rank, workspaces)
+    workspaces.sort_by(|a, b| b.offered_slots.total_cmp(&a.offered_slots));
+    let others = workspaces.split_off(workspaces.len().min(MAX_WORKSPACES)).into_iter();
+    let rest = others.reduce(|sum, row| sum.plus(&row));
+    let rest = rest.map(|sum| WorkspaceStatus { workspace: WorkspaceKey::REST, ..sum });
+    (by_rank, workspaces, rest)
 }
