--- a/teaselworks_policy/src/membership.rs
+++ b/teaselworks_policy/src/membership.rs
@@ -364,6 +364,59 @@
         holders.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Returns the name of this router.
+    ///
+    /// ```
+    /// use teaselworks_policy::membership::Membership;
+    ///
+    /// assert_eq!(&**Membership::new("a".into(), Vec::new()).own_name(), "a");
+    /// ```
+    pub fn own_name(&self) -> &Arc<str> {
+        &self.own_name
+    }
+
+    /// Returns the registered routers in the order of their names, this one included if it is
+    /// registered.
+    ///
+    /// ```
+    /// use teaselworks_policy::membership::Membership;
+    ///
+    /// let mut membership = Membership::new("a".into(), Vec::new());
+    /// membership.put("b".into(), ([127, 0, 0, 1], 81).into());
+    /// let names: Vec<&str> = membership.listed().map(|(name, _)| &**name).collect();
+    /// assert_eq!(names, ["b"]);
+    /// ```
+    pub fn listed(&self) -> impl Iterator<Item = (&Arc<str>, SocketAddr)> {
+        let listed = self.peers.iter().filter(|(_, peer)| peer.unlisted_since.is_none());
+        listed.map(|(name, peer)| (name, peer.address))
+    }
+
+    /// Returns the addresses of the `count` registered routers with the highest rendezvous scores for
+    /// a key, the highest first, this one included if it is registered. Routers with the same list
+    /// compute the same.
+    ///
+    /// ```
+    /// use teaselworks_policy::membership::Membership;
+    ///
+    /// let mut membership = Membership::new("a".into(), Vec::new());
+    /// for number in 0..9 {
+    ///     membership.put(format!("router-{number}").into(), ([127, 0, 0, 1], 80 + number).into());
+    /// }
+    /// let chosen = membership.rendezvous(7, 2);
+    /// assert_eq!(chosen.len(), 2);
+    /// assert_eq!(chosen[..1], membership.rendezvous(7, 1));
+    /// ```
+    pub fn rendezvous(&self, key: u64, count: usize) -> Vec<SocketAddr> {
+        let mut chosen: Vec<(u64, SocketAddr)> = Vec::with_capacity(count + 1);
+        for (name, address) in self.listed() {
+            let score = xxh3_64_with_seed(name.as_bytes(), key);
+            let rank = chosen.partition_point(|(other, _)| *other >= score);
+            chosen.insert(rank, (score, address));
+            chosen.truncate(count);
+        }
+        chosen.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// Returns the addresses of the other routers that are registered.
     ///
     /// ```
--- a/teaselworks_policy/src/shares/mod.rs
+++ b/teaselworks_policy/src/shares/mod.rs
@@ -2,8 +2,10 @@
 
 mod admission;
 mod class;
+mod exchange;
 mod offered_row;
 
 pub use self::admission::Admission;
 pub use self::class::{Class, WorkspaceKey};
+pub use self::exchange::{Exchange, ExchangeKind, ExchangeMessage, ServiceLoad, service_key};
 pub use self::offered_row::{OfferedRow, RankLoad, Totals};
