--- a/teaselworks/src/datagram/message.rs
+++ b/teaselworks/src/datagram/message.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use teaselworks_policy::stream_origin::StreamOrigin;
 
+use super::load_message::LoadMessage;
+
 /// Longest name in a message: those of services and versions are far shorter.
 const MAX_NAME_BYTES: usize = 200;
 
@@ -82,6 +84,9 @@
         #[serde(rename = "p")]
         part: u64,
     },
+    /// The offered load of a service.
+    #[serde(rename = "load")]
+    Load(LoadMessage),
 }
 
 /// A crash report: the part, the hash of the incarnation, the times since the request was sent and
@@ -119,6 +124,11 @@
 /// Decodes a message; `None` if the bytes are not one.
 pub fn decode_message(bytes: &[u8]) -> Option<Message> {
     let message: Message = ciborium::from_reader(bytes).ok()?;
+    if let Message::Load(load) = &message
+        && !load.is_plausible()
+    {
+        return None;
+    }
     let origin = match &message {
         Message::StreamBegan { origin, .. } => Some(origin),
         Message::StreamAnswer { origin, .. } => origin.as_ref(),
--- a/teaselworks/src/datagram/mod.rs
+++ b/teaselworks/src/datagram/mod.rs
@@ -3,9 +3,11 @@
 //! Datagrams may be lost. What a router must know is therefore sent to several others, or asked for
 //! again.
 
+mod load_message;
 mod lookup;
 mod message;
 mod port;
 
+pub use self::load_message::{LoadMessage, LoadRow};
 pub use self::message::{CrashRow, Message, decode_message, encode_message};
 pub use self::port::DatagramPort;
--- a/teaselworks/src/metrics.rs
+++ b/teaselworks/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use teaselworks_policy::configuration::Kind;
 use teaselworks_policy::retry::{RetryReason, SlackShare};
+use teaselworks_policy::shares::{ExchangeKind, Totals};
 use teaselworks_policy::verdict::{Refusal, RefusalReason, Verdict};
 
 use crate::event;
@@ -34,6 +35,15 @@
     Failed,
 }
 
+/// Direction of a datagram.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DatagramDirection {
+    /// To another router.
+    Sent,
+    /// From another router.
+    Received,
+}
+
 /// Outcome of the search for the origin of a stream that a caller resumes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LookupOutcome {
@@ -98,6 +108,9 @@
     routers: Gauge<u64>,
     withheld_retries: Counter<u64>,
     evacuated_zones: UpDownCounter<i64>,
+    load_datagrams: Counter<u64>,
+    load_totals_age: Gauge<u64>,
+    load_totals_routers: Gauge<u64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
 }
@@ -187,6 +200,19 @@
                 .i64_up_down_counter("teaselworks_evacuated_zones")
                 .with_description("Zones whose upstreams get no new requests.")
                 .build(),
+            load_datagrams: counter(
+                &meter,
+                "teaselworks_load_datagrams",
+                "Datagrams of the exchange of offered load, by kind and direction.",
+            ),
+            load_totals_age: meter
+                .u64_gauge("teaselworks_load_totals_age_ms")
+                .with_description("Age of the oldest part of the fleet's offered load, by service.")
+                .build(),
+            load_totals_routers: meter
+                .u64_gauge("teaselworks_load_totals_routers")
+                .with_description("Routers in the fleet's offered load, by service; 0 without it.")
+                .build(),
             first_byte: latency_histogram(
                 &meter,
                 "teaselworks_first_byte_ms",
@@ -289,6 +315,26 @@
         self.routers.record(routers.into(), &[]);
     }
 
+    /// Counts a datagram of the exchange of offered load.
+    pub fn add_load_datagram(&self, kind: ExchangeKind, direction: DatagramDirection) {
+        let direction = match direction {
+            DatagramDirection::Sent => "sent",
+            DatagramDirection::Received => "received",
+        };
+        let labels = [KeyValue::new("kind", kind.as_str()), KeyValue::new("direction", direction)];
+        self.load_datagrams.add(1, &labels);
+    }
+
+    /// Sets age and number of routers of the totals of a service; without totals, the age stays at
+    /// that of the last ones.
+    pub fn set_load_totals(&self, service: &str, totals: Option<&Totals>) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.load_totals_routers.record(totals.map_or(0, |totals| totals.routers.into()), &labels);
+        if let Some(totals) = totals {
+            self.load_totals_age.record(totals.age.as_millis() as u64, &labels);
+        }
+    }
+
     /// Counts a request whose response is complete, and records its duration.
     pub fn add_answer(&self, kind: Kind, elapsed: Duration) {
         let kind = match kind {
--- a/teaselworks/src/relay/crashes.rs
+++ b/teaselworks/src/relay/crashes.rs
@@ -155,7 +155,8 @@
             }
             Message::StreamBegan { .. }
             | Message::StreamQuery { .. }
-            | Message::StreamAnswer { .. } => {}
+            | Message::StreamAnswer { .. }
+            | Message::Load(_) => {}
         }
         drop(fleet);
         self.crash_noticed.notify_one();
--- a/teaselworks/src/relay/mod.rs
+++ b/teaselworks/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod forwarded;
 mod in_flight;
 mod io;
+mod load_exchange;
 mod open_connections;
 mod origin;
 mod part_change;
--- a/teaselworks/src/relay/shared.rs
+++ b/teaselworks/src/relay/shared.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use super::ConnectionPool;
+use super::load_exchange::LoadExchange;
 use super::part_change::PartChange;
 use super::upstream_connection::Connection;
 use crate::datagram::DatagramPort;
@@ -50,6 +51,8 @@
     /// Changes of the blocked parts that the store is to hold.
     pub(super) part_changes: mpsc::Sender<PartChange>,
     part_change_receiver: Mutex<Option<mpsc::Receiver<PartChange>>>,
+    /// Exchange of offered load with other routers.
+    pub(super) load_exchange: LoadExchange,
     fleet: Mutex<Fleet>,
     /// Time at which the router started.
     started_at: Duration,
@@ -83,6 +86,7 @@
             crash_noticed: Notify::new(),
             part_changes,
             part_change_receiver: Mutex::new(Some(part_change_receiver)),
+            load_exchange: LoadExchange::default(),
             fleet,
             started_at,
             configuration_set,
--- a/teaselworks/src/relay/stream_origins.rs
+++ b/teaselworks/src/relay/stream_origins.rs
@@ -95,6 +95,7 @@
                 let origin = self.fleet().stream_origins.find(now, stream);
                 self.datagrams.answer(stream, origin.as_deref(), sender);
             }
+            Message::Load(message) => self.on_load_message(message, sender),
             message => self.on_part_message(message),
         }
     }
