--- a/teaselworks/src/daemon/serve.rs
+++ b/teaselworks/src/daemon/serve.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use teaselworks_policy::fleet::Fleet;
 use tokio::net::TcpListener;
 
 use super::page::{self, Page};
-use super::services::{CACHE, METRICS, SHARED, UPDATER, random_seed, register};
+use super::services::{CACHE, METRICS, SHARED, UPDATER, fleet_settings, random_seed, register};
 use super::{ReloadSignal, StartError, reload, stop};
 use crate::discovery::{BlockedPartWriter, PeerFallback, Registrar, StateUpdater, StoreWatcher};
 use crate::event;
@@ -121,6 +122,9 @@
     tokio::spawn(writer.run());
     let crash_shared = shared.clone();
     tokio::spawn(async move { crash_shared.exchange_crashes().await });
+    if fleet_settings(settings).shares.is_enabled() {
+        tokio::spawn(exchange_load(shared.clone()));
+    }
     tokio::spawn(sweep(shared.clone(), updater));
     tokio::spawn(probe_links(shared.clone()));
     tokio::spawn(page::serve(ports.metrics, move || Page {
@@ -157,6 +161,12 @@
     shared.datagrams.receive(|message, sender| shared.on_message(message, sender)).await;
 }
 
+/// Exchanges the load that each service is offered with other routers until the process ends.
+async fn exchange_load(shared: Arc<Shared>) {
+    let process = random_seed();
+    shared.exchange_load(process, |fleet, now| fleet.own_loads(now), Fleet::set_totals).await;
+}
+
 /// Removes expired state at regular intervals until the process ends.
 async fn sweep(shared: Arc<Shared>, updater: Arc<StateUpdater>) {
     loop {
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -40,7 +40,6 @@
 
 pub use self::callers::CallerRequest;
 pub use self::settings::FleetSettings;
-pub use self::shares::OwnLoad;
 
 /// Retry-after time for a service without a pool: none of its replicas has been listed yet.
 const NO_POOL_RETRY_AFTER: Duration = Duration::from_millis(300);
--- a/teaselworks_policy/src/shares/mod.rs
+++ b/teaselworks_policy/src/shares/mod.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod class;
+mod exchange;
 mod gate;
 mod offered;
 mod offered_row;
@@ -22,6 +23,7 @@
 
 pub use self::admission::Admission;
 pub use self::class::{Class, WorkspaceKey};
+pub use self::exchange::{Exchange, ExchangeKind, ExchangeMessage, ReportedLoad, service_key};
 pub use self::offered_row::{OfferedRow, RankLoad, Totals};
 pub use self::plan::{ClassPlan, Plan, RankPlan, WorkspacePlan, is_overloaded, plan};
 pub use self::rank_order::{max_min, rank_amounts};
@@ -140,6 +142,12 @@
         self.services.get(service).is_some_and(ServiceShares::is_overloaded)
     }
 
+    /// Returns whether the offered load of a service, as far as this router knows it, exceeds half of
+    /// the capacity by the latest plan, so that an overload may follow.
+    pub fn is_loaded(&self, now: Duration, service: &str) -> bool {
+        self.services.get(service).is_some_and(|state| state.is_loaded(now))
+    }
+
     /// Returns the state of a service for operators; `None` if no request to it was recorded.
     pub fn status(&self, now: Duration, service: &str) -> Option<ServiceStatus> {
         self.services.get(service)?.status(now)
--- a/teaselworks_policy/src/shares/service.rs
+++ b/teaselworks_policy/src/shares/service.rs
@@ -12,8 +12,12 @@
 /// Time between plans: totals change every 250 ms, and a router that plans alone needs to follow a
 /// burst within a fraction of a second.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
-/// Age up to which totals are used. Unused shares have to be returned within a second.
-const MAX_TOTALS_AGE: Duration = Duration::from_secs(1);
+/// Age of their oldest part up to which totals are used. Most parts are younger by a second; with a
+/// shorter limit one lost datagram made the totals of hundreds of routers unusable.
+const MAX_TOTALS_AGE: Duration = Duration::from_millis(1_750);
+/// Offered load, as a part of the capacity, beyond which routers report four times a second, so that
+/// their totals are recent when an overload begins.
+const LOADED_SHARE: f64 = 0.5;
 /// Time without requests after which the plan is made without one, so that the end of an overload
 /// is noticed.
 const IDLE: Duration = Duration::from_secs(1);
@@ -61,6 +65,13 @@
         self.plan.is_some()
     }
 
+    /// Returns whether the offered load exceeds [`LOADED_SHARE`] of the capacity.
+    pub fn is_loaded(&self, now: Duration) -> bool {
+        let (slots, rows) = self.slots_and_rows(now);
+        let offered: f64 = rows.iter().map(OfferedRow::offered_slots).sum();
+        self.is_overloaded() || offered > LOADED_SHARE * slots
+    }
+
     /// Returns the totals if they are recent enough to be used.
     pub fn recent_totals(&self, now: Duration) -> Option<&Totals> {
         let (received_at, totals) = self.totals.as_ref()?;
--- a/teaselworks_policy/src/upstream/pool/capacity.rs
+++ b/teaselworks_policy/src/upstream/pool/capacity.rs
@@ -8,8 +8,9 @@
 
 /// Time for which a computed capacity is used: replicas come and go in seconds.
 const CAPACITY_LIFETIME: Duration = Duration::from_millis(100);
-/// Age up to which the requests in progress that other routers state are used.
-const MAX_PEER_REQUESTS_AGE: Duration = Duration::from_secs(1);
+/// Age up to which the requests in progress that other routers state are used: totals of a calm
+/// service are up to 2.3 s old, and tell more of it than this router's own requests.
+const MAX_PEER_REQUESTS_AGE: Duration = Duration::from_millis(2_500);
 
 /// Requests that other routers have in progress at a service, as they state.
 #[derive(Clone, Copy, Debug)]
