--- a/teaselworks/tests/load_exchange.rs
+++ b/teaselworks/tests/load_exchange.rs
@@ -15,8 +15,8 @@
 use teaselworks_policy::membership::Membership;
 use teaselworks_policy::retry::BudgetSettings;
 use teaselworks_policy::shares::{
-    Exchange, ExchangeKind, ExchangeMessage, OfferedRow, RankLoad, ReportedLoad, Totals,
-    WorkspaceKey,
+    Exchange, ExchangeKind, ExchangeMessage, OfferedRow, RankLoad, ReportedLoad, SharesSettings,
+    Totals, WorkspaceKey,
 };
 use teaselworks_policy::upstream::ColdSettings;
 
@@ -145,6 +145,7 @@
         load_factor: 1.25,
         cold: ColdSettings { overshoot: 1.5, slack: 5.0 },
         budget: BudgetSettings { ratio: 0.1, slack: 10.0, window: Duration::from_secs(10) },
+        shares: SharesSettings::default(),
         max_staleness: Duration::from_secs(1),
     };
     for (number, address) in addresses.iter().enumerate() {
