--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -45,7 +45,8 @@
     /// Returns the priority of the request: that of its workspace if it has one, otherwise that of
     /// its route.
     pub(super) fn priority(&self) -> u8 {
-        self.class.rank
+        let workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
+        workspace.unwrap_or(self.route.priority)
     }
 
     /// Returns the prompt; `None` for a request of a route without prompts, whatever its headers
@@ -88,11 +89,7 @@
     let headers = copy_headers(&head.headers);
     let method = head.method;
     let is_late = false;
-    let workspace_priority = workspace.as_ref().and_then(|workspace| workspace.priority);
-    let class = Class {
-        rank: workspace_priority.unwrap_or(route.priority),
-        workspace: workspace.as_ref().map(|workspace| workspace.name.clone()),
-    };
+    let class = Class::new(workspace.as_deref(), route.priority);
     Ok(PreparedRequest {
         metadata,
         route,
--- a/teaselworks_policy/src/placement/choice.rs
+++ b/teaselworks_policy/src/placement/choice.rs
@@ -15,6 +15,7 @@
 };
 use super::scan::Scan;
 use super::{Prompt, admission, cold};
+use crate::shares::Admission;
 use crate::upstream::{AverageLoad, Member, Pool};
 use crate::verdict::{Refusal, RefusalReason};
 
@@ -132,7 +133,8 @@
     };
     if admission::exceeds_max_wait(pool, choice.member, now, request, scan.average_load(), settings)
     {
-        let may_spill_over = key.is_some() && !scan.is_nearly_full();
+        let is_urgent = matches!(request.admission, Admission::Planned { is_marginal: false, .. });
+        let may_spill_over = key.is_some() && (is_urgent || !scan.is_nearly_full());
         let spillover =
             may_spill_over.then(|| choose_spillover(scan, now, settings, random)).flatten();
         choice = spillover.ok_or(RefusalReason::Overloaded)?;
--- a/teaselworks_policy/src/shares/class.rs
+++ b/teaselworks_policy/src/shares/class.rs
@@ -4,10 +4,15 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::configuration::Workspace;
+
+/// Least urgent priority that is told apart; larger ones count as this one.
+const LEAST_URGENT: u8 = 15;
+
 /// Requests that an overloaded service treats alike.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Class {
-    /// Priority of the workspace if it has one, otherwise that of the route; 0 is the most urgent.
+    /// Rank by the priorities of the workspace and the route; 0 is the most urgent.
     pub rank: u8,
     /// Workspace of the caller; `None` where requests need no API key.
     pub workspace: Option<Arc<str>>,
@@ -35,6 +40,31 @@
 }
 
 impl Class {
+    /// Creates the class of requests of a workspace on a route.
+    ///
+    /// The priority of the workspace goes before that of the route, which orders the requests of
+    /// workspaces with the same priority. A workspace without a priority has that of the route.
+    ///
+    /// ```
+    /// use teaselworks_policy::configuration::Workspace;
+    /// use teaselworks_policy::shares::Class;
+    ///
+    /// let rank = |workspace: Option<u8>, route: u8| {
+    ///     let workspace = Workspace { name: "search".into(), priority: workspace };
+    ///     Class::new(Some(&workspace), route).rank
+    /// };
+    /// assert!(rank(Some(0), 2) < rank(Some(1), 0), "the workspace goes before the route");
+    /// assert!(rank(Some(1), 0) < rank(Some(1), 2));
+    /// assert_eq!(rank(None, 1), rank(Some(1), 1));
+    /// ```
+    pub fn new(workspace: Option<&Workspace>, route_priority: u8) -> Self {
+        let first = workspace.and_then(|workspace| workspace.priority).unwrap_or(route_priority);
+        Self {
+            rank: first.min(LEAST_URGENT) * (LEAST_URGENT + 1) + route_priority.min(LEAST_URGENT),
+            workspace: workspace.map(|workspace| workspace.name.clone()),
+        }
+    }
+
     /// Returns the key of the class's workspace.
     ///
     /// ```
--- a/teaselworks_policy/src/shares/mod.rs
+++ b/teaselworks_policy/src/shares/mod.rs
@@ -11,6 +11,7 @@
 mod gate;
 mod offered;
 mod offered_row;
+mod pace;
 mod plan;
 mod rank_order;
 mod service;
--- a/teaselworks_policy/src/shares/service.rs
+++ b/teaselworks_policy/src/shares/service.rs
@@ -5,6 +5,7 @@
 
 use super::gate::{Gate, GateKey};
 use super::offered::{AdmittedLoad, OfferedLoad, Reader};
+use super::pace::Pace;
 use super::plan::{ClassPlan, Plan, is_overloaded, plan};
 use super::{Admission, OfferedRow, OverloadChange, ServiceStatus, Totals, WorkspaceKey, status};
 use crate::verdict::RefusalReason;
@@ -45,6 +46,7 @@
     /// Whether the caller of `take_overload_change` knows the service as overloaded.
     is_known_overloaded: bool,
     gate: Gate,
+    pace: Pace,
 }
 
 impl ServiceShares {
@@ -59,6 +61,7 @@
             plan: None,
             is_known_overloaded: false,
             gate: Gate::default(),
+            pace: Pace::default(),
         }
     }
 
@@ -94,12 +97,17 @@
         self.planned_at = Some(now);
         self.capacity = capacity;
         let was_overloaded = self.is_overloaded();
+        let in_progress = self.recent_totals(now).map(|totals| totals.in_progress);
+        if let Some(in_progress) = in_progress.filter(|_| was_overloaded) {
+            self.pace.observe(now, self.slots_and_rows(now).0, in_progress);
+        }
         self.plan = self.new_plan(now);
         if let Some(plan) = &self.plan {
             self.offered.set_within_share(now, |workspace| plan.within_share(workspace));
         } else if was_overloaded {
             self.offered.set_within_share(now, |_| 1.0);
             self.gate.clear();
+            self.pace.reset();
         }
     }
 
@@ -118,6 +126,10 @@
         let offered: f64 = rows.iter().map(OfferedRow::offered_slots).sum();
         let is_divided = slots > 0.0 && has_classes(&rows);
         let is_planned = is_divided && is_overloaded(offered, slots, self.is_overloaded());
+        let slots = match self.recent_totals(now) {
+            Some(totals) => self.pace.slots_to_admit(slots, totals.in_progress),
+            None => slots,
+        };
         is_planned.then(|| plan(slots, &rows))
     }
 
@@ -145,6 +157,7 @@
         is_returning: bool,
     ) {
         self.latest_slot_time = slot_time;
+        self.pace.on_request(now, slot_time);
         self.offered.add(now, workspace, rank, slot_time, is_returning);
     }
 
