--- a/teaselworks_policy/src/demand.rs
+++ b/teaselworks_policy/src/demand.rs
@@ -7,8 +7,12 @@
 use crate::configuration::Routes;
 use crate::placement::Prompt;
 
-/// Estimate for a route without observations that has no target latency either.
-const DEFAULT_SLOT_TIME: Duration = Duration::from_millis(300);
+/// Target latency that is assumed of a route without one.
+const DEFAULT_TARGET_LATENCY: Duration = Duration::from_millis(300);
+/// Part of the target latency that is estimated for a route without observations. A service whose
+/// requests took the whole of it would have no time for queues; the whole refused callers of idle
+/// services of just started routers.
+const UNKNOWN_FACTOR: f64 = 0.25;
 /// Shortest estimate that an error is measured against, so that the ratio is finite.
 const MIN_ESTIMATE: Duration = Duration::from_micros(1);
 /// Bounds on the estimate as multiples of the route's mean slot time. They hold whatever the headers
@@ -146,7 +150,8 @@
     fn slot_time(&self, prompt: Option<&Prompt>) -> Duration {
         if self.slot_time_count == 0 {
             let has_target = !self.target_latency.is_zero();
-            return if has_target { self.target_latency } else { DEFAULT_SLOT_TIME };
+            let target = if has_target { self.target_latency } else { DEFAULT_TARGET_LATENCY };
+            return target.mul_f64(UNKNOWN_FACTOR);
         }
         let size = match prompt {
             Some(prompt) if self.work_count > 0 => work_tokens(prompt) / self.mean_work_tokens,
--- a/teaselworks_policy/src/shares/mod.rs
+++ b/teaselworks_policy/src/shares/mod.rs
@@ -26,7 +26,7 @@
 pub use self::class::{Class, WorkspaceKey};
 pub use self::exchange::{Exchange, ExchangeKind, ExchangeMessage, ReportedLoad, service_key};
 pub use self::offered_row::{OfferedRow, RankLoad, Totals};
-pub use self::plan::{ClassPlan, Plan, RankPlan, WorkspacePlan, is_overloaded, plan};
+pub use self::plan::{ClassPlan, Plan, RankPlan, WorkspacePlan, is_overloaded, plan, plan_with_free_slots};
 pub use self::rank_order::{max_min, rank_amounts};
 use self::service::{Capacity, ServiceShares};
 pub use self::settings::SharesSettings;
--- a/teaselworks_policy/src/shares/pace.rs
+++ b/teaselworks_policy/src/shares/pace.rs
@@ -15,9 +15,9 @@
 const MIN_FILL: f64 = 0.5;
 /// Change of the scale for each second and whole capacity by which the requests in progress differ
 /// from it. The slower totals are, the slower the scale must follow.
-const SCALE_GAIN_PER_S: f64 = 0.8;
-/// Bounds of the scale: slot times are not off by more once some were observed.
-const SCALE_BOUNDS: (f64, f64) = (0.7, 2.0);
+const SCALE_GAIN_PER_S: f64 = 1.5;
+/// Bounds of the scale. Requests beyond what is admitted rightly meet the routers' concurrency limits.
+const SCALE_BOUNDS: (f64, f64) = (1.0, 3.0);
 /// Time constant of the mean slot time.
 const SLOT_TIME_CONSTANT: Duration = Duration::from_secs(2);
 /// Longest time between two observations that counts.
