--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -211,7 +211,7 @@
             upstream_id: &upstream.id,
             remaining: prepared.deadline.remaining(self.shared.now()),
             workspace: prepared.workspace.as_ref().map(|workspace| &*workspace.name),
-            priority: prepared.route.has_prompts.then(|| prepared.priority()),
+            priority: prepared.route.has_prompts.then(|| prepared.engine_priority(self.shared)),
             holder,
             last_event_id: self.last_event_id,
         };
--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -17,6 +17,7 @@
 use teaselworks_policy::shares::Class;
 use teaselworks_policy::verdict::RefusalReason;
 
+use super::Shared;
 use super::body::{self, BodyError, OutgoingBody};
 use crate::platform::headers::{self, RequestMetadata};
 
@@ -42,11 +43,12 @@
 }
 
 impl PreparedRequest {
-    /// Returns the priority of the request: that of its workspace if it has one, otherwise that of
-    /// its route.
-    pub(super) fn priority(&self) -> u8 {
+    /// Returns the priority by which engines order the request: by its rank where routers do, and
+    /// otherwise that of its workspace, or of its route if the workspace has none.
+    pub(super) fn engine_priority(&self, shared: &Shared) -> u8 {
+        let by_rank = shared.fleet().engine_priority(&self.class);
         let workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
-        workspace.unwrap_or(self.route.priority)
+        by_rank.or(workspace).unwrap_or(self.route.priority)
     }
 
     /// Returns the prompt; `None` for a request of a route without prompts, whatever its headers
--- a/teaselworks_policy/src/configuration/workspace.rs
+++ b/teaselworks_policy/src/configuration/workspace.rs
@@ -50,6 +50,15 @@
         self.by_key.get(key)
     }
 
+    /// Returns the priorities that workspaces have, without duplicates.
+    pub fn priorities(&self) -> Vec<u8> {
+        let priorities = self.by_key.values().filter_map(|workspace| workspace.priority);
+        let mut priorities: Vec<u8> = priorities.collect();
+        priorities.sort_unstable();
+        priorities.dedup();
+        priorities
+    }
+
     /// Returns the names of the workspaces that have API keys; one with several keys occurs more than
     /// once.
     pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
--- a/teaselworks_policy/src/demand.rs
+++ b/teaselworks_policy/src/demand.rs
@@ -68,7 +68,7 @@
 
 impl DemandEstimator {
     /// Returns the estimate for a request of a route. While no request of the route was observed,
-    /// that is the target latency of the route.
+    /// that is a quarter of the target latency of the route.
     ///
     /// ```
     /// use std::sync::Arc;
@@ -79,7 +79,7 @@
     /// let route = Route::example(Kind::Stream, "/a/");
     /// let mut estimator = DemandEstimator::default();
     /// estimator.retain(&Routes::new([route.clone()]));
-    /// assert_eq!(estimator.estimate(&route.name, None).slot_time, route.target_latency);
+    /// assert_eq!(estimator.estimate(&route.name, None).slot_time, route.target_latency / 4);
     /// ```
     pub fn estimate(&self, route: &Arc<str>, prompt: Option<&Prompt>) -> Demand {
         let demand = self.by_route.get(route).copied().unwrap_or_default();
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod crashes;
 mod demand;
+mod engine_priority;
 mod list_age;
 mod retries;
 mod settings;
@@ -54,6 +55,8 @@
     budget: RetryBudget,
     durations: RouteDurations,
     deadlines: DeadlineBaselines,
+    /// Ranks that requests may have by the active configuration, the most urgent first.
+    ranks: Vec<u8>,
     /// Slot time that requests are expected to take.
     demand: DemandEstimator,
     /// Division of overloaded services between ranks and workspaces.
@@ -86,6 +89,7 @@
             budget: RetryBudget::new(settings.budget),
             durations: RouteDurations::default(),
             deadlines: DeadlineBaselines::default(),
+            ranks: Vec::new(),
             demand: DemandEstimator::default(),
             shares: Shares::new(settings.shares),
             random: Pcg32::seed_from_u64(seed),
@@ -123,6 +127,7 @@
         self.durations.retain(&configuration.routes);
         self.deadlines.retain(&configuration.routes);
         self.demand.retain(&configuration.routes);
+        self.ranks = engine_priority::ranks(&configuration);
         self.retain_shares(&configuration);
         self.configuration = Some(Arc::new(configuration));
         self.update_service_properties();
--- a/teaselworks_policy/src/shares/class.rs
+++ b/teaselworks_policy/src/shares/class.rs
@@ -58,13 +58,18 @@
     /// assert_eq!(rank(None, 1), rank(Some(1), 1));
     /// ```
     pub fn new(workspace: Option<&Workspace>, route_priority: u8) -> Self {
-        let first = workspace.and_then(|workspace| workspace.priority).unwrap_or(route_priority);
         Self {
-            rank: first.min(LEAST_URGENT) * (LEAST_URGENT + 1) + route_priority.min(LEAST_URGENT),
+            rank: Self::rank_of(workspace.and_then(|workspace| workspace.priority), route_priority),
             workspace: workspace.map(|workspace| workspace.name.clone()),
         }
     }
 
+    /// Returns the rank of requests by the priorities of their workspace, if it has one, and route.
+    pub(crate) fn rank_of(workspace_priority: Option<u8>, route_priority: u8) -> u8 {
+        let first = workspace_priority.unwrap_or(route_priority).min(LEAST_URGENT);
+        first * (LEAST_URGENT + 1) + route_priority.min(LEAST_URGENT)
+    }
+
     /// Returns the key of the class's workspace.
     ///
     /// ```
--- a/teaselworks_policy/src/shares/mod.rs
+++ b/teaselworks_policy/src/shares/mod.rs
@@ -26,7 +26,7 @@
 pub use self::class::{Class, WorkspaceKey};
 pub use self::exchange::{Exchange, ExchangeKind, ExchangeMessage, ReportedLoad, service_key};
 pub use self::offered_row::{OfferedRow, RankLoad, Totals};
-pub use self::plan::{ClassPlan, Plan, RankPlan, WorkspacePlan, is_overloaded, plan, plan_with_free_slots};
+pub use self::plan::{ClassPlan, Plan, RankPlan, WorkspacePlan, is_overloaded, plan};
 pub use self::rank_order::{max_min, rank_amounts};
 use self::service::{Capacity, ServiceShares};
 pub use self::settings::SharesSettings;
@@ -187,7 +187,7 @@
     /// let age = Duration::from_millis(300);
     /// shares.set_totals(now, &service, Totals { rows: vec![], in_progress: 7.0, routers: 64, age });
     /// assert_eq!(shares.in_progress(now, "chat"), Some(7.0));
-    /// assert_eq!(shares.in_progress(now + Duration::from_secs(1), "chat"), None);
+    /// assert_eq!(shares.in_progress(now + Duration::from_secs(2), "chat"), None);
     /// ```
     pub fn in_progress(&self, now: Duration, service: &str) -> Option<f64> {
         Some(self.services.get(service)?.recent_totals(now)?.in_progress)
--- a/teaselworks_policy/src/shares/plan.rs
+++ b/teaselworks_policy/src/shares/plan.rs
@@ -191,12 +191,6 @@
         index.map_or(RETURNING_PER_NEW, |index| self.ranks[index].returning_per_new)
     }
 
-    /// Returns the most urgent rank of which only a part is admitted.
-    fn marginal_rank(&self) -> Option<u8> {
-        let marginal = self.ranks.iter().find(|rank| rank.admitted_fraction() < 1.0);
-        marginal.map(|rank| rank.rank)
-    }
-
     /// Returns the part of the admitted load that the first `ranks` ranks have.
     fn ahead_share(&self, ranks: usize) -> f64 {
         let sum = |ranks: &[RankPlan]| ranks.iter().map(|rank| rank.admitted_slots).sum::<f64>();
@@ -296,37 +290,6 @@
     summarize(capacity_slots, &ranks, &by_rank, workspaces, &classes)
 }
 
-/// Divides the capacity of an overloaded service that has free slots, which are worth `fill_slots` of
-/// load.
-///
-/// Free slots go to the ranks that get slots in the long run: the less urgent ones would hold theirs
-/// while more urgent requests follow.
-///
-/// ```
-/// use teaselworks_policy::shares::{OfferedRow, RankLoad, WorkspaceKey, plan_with_free_slots};
-///
-/// let ranks = [0, 1].map(|rank| RankLoad { rank, new: 150.0, returning: 0.0 }).to_vec();
-/// let workspace = WorkspaceKey::of("search");
-/// let plan = plan_with_free_slots(100.0, 300.0, &[OfferedRow { workspace, usual: 20.0, ranks }]);
-/// assert_eq!(plan.class(workspace, 0).unwrap().new, 1.0);
-/// assert!(plan.class(workspace, 1).unwrap().new < 0.1);
-/// ```
-pub fn plan_with_free_slots(capacity_slots: f64, fill_slots: f64, rows: &[OfferedRow]) -> Plan {
-    let lasting = plan(capacity_slots, rows);
-    let Some(marginal) = lasting.marginal_rank().filter(|_| fill_slots > capacity_slots) else {
-        return plan(fill_slots.min(capacity_slots), rows);
-    };
-    let filling = plan(fill_slots, rows);
-    let mut combined = lasting;
-    for (known, filled) in combined.classes.iter_mut().zip(filling.classes) {
-        let ((_, rank), _) = filled;
-        if rank <= marginal {
-            *known = filled;
-        }
-    }
-    combined
-}
-
 /// Returns the growth of the half of the workspaces that have grown least: their offered load
 /// divided by their average load, at least 1.
 ///
--- a/teaselworks_policy/src/shares/service.rs
+++ b/teaselworks_policy/src/shares/service.rs
@@ -6,7 +6,7 @@
 use super::gate::{Gate, GateKey};
 use super::offered::{AdmittedLoad, OfferedLoad, Reader};
 use super::pace::Pace;
-use super::plan::{ClassPlan, Plan, is_overloaded, plan_with_free_slots};
+use super::plan::{ClassPlan, Plan, is_overloaded, plan};
 use super::{Admission, OfferedRow, OverloadChange, ServiceStatus, Totals, WorkspaceKey, status};
 use crate::verdict::RefusalReason;
 
@@ -126,14 +126,7 @@
         let offered: f64 = rows.iter().map(OfferedRow::offered_slots).sum();
         let is_divided = slots > 0.0 && has_classes(&rows);
         let is_planned = is_divided && is_overloaded(offered, slots, self.is_overloaded());
-        if !is_planned {
-            return None;
-        }
-        let fill_slots = match self.recent_totals(now) {
-            Some(totals) => self.pace.slots_to_admit(slots, totals.in_progress),
-            None => slots,
-        };
-        Some(plan_with_free_slots(slots, fill_slots, &rows))
+        is_planned.then(|| plan(slots * self.pace.scale(), &rows))
     }
 
     /// Returns the slots to divide and the load that is offered for them.
