--- /dev/null
+++ b/teaselworks/tests/true_answers.rs
@@ -0,0 +1,156 @@
+//! Statuses that callers get by what was sent and what came back: 503 with a retry-after time where
+//! it is certain that a request has not run, and none that says so where it may have run. The table
+//! in docs/TRUE-ANSWERS.md names the test of each row.
+
+mod common;
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use common::{fleet, program};
+use serde_json::json;
+use teaselworks_standin::caller::{Call, Reply, call};
+use teaselworks_standin::configuration::{API_KEY, HOST, TestConfiguration};
+use teaselworks_standin::fleet::{Fleet, wait_until};
+use teaselworks_standin::links::Partition;
+use teaselworks_standin::upstream::{ReceivedRequest, Script, Step, raw_response};
+
+/// Method and target of a request of each kind: idempotent, at most once, stream, resumable stream.
+const KINDS: [(&str, &str); 4] =
+    [("GET", "/read/a"), ("POST", "/write/a"), ("POST", "/chat/a"), ("POST", "/gloss/a")];
+
+/// Time within which the replicas of these tests answer, if they do.
+const AMPLE_MS: u64 = 6_000;
+
+/// Returns what a replica does with a request.
+type Behaviour = fn(&ReceivedRequest) -> Script;
+
+/// Sends a request with a deadline to the first router.
+async fn send(fleet: &Fleet, (method, target): (&str, &str), id: &str, deadline_ms: u64) -> Reply {
+    let sent = Call::new(method, HOST, target, id)
+        .with_api_key(API_KEY)
+        .with_header("X-Deadline-Ms", &deadline_ms.to_string());
+    call(fleet.routers[0].callers_address(), &sent).await.unwrap()
+}
+
+/// Makes the replicas respond to the first arrival of each request by the first behaviour, to the
+/// second one by the second, and to all later ones by the last.
+fn set_behaviours(fleet: &Fleet, behaviours: &'static [Behaviour]) {
+    let arrivals = Arc::new(Mutex::new(HashMap::<String, usize>::new()));
+    for upstream in fleet.archives.iter().chain(&fleet.engines) {
+        let arrivals = arrivals.clone();
+        upstream.set_behaviour(move |req| {
+            let mut arrivals = arrivals.lock().unwrap();
+            let count = arrivals.entry(req.id().to_owned()).or_default();
+            *count += 1;
+            behaviours[(*count - 1).min(behaviours.len() - 1)](req)
+        });
+    }
+}
+
+/// Checks that an answer says that the request has not run and when to try again.
+fn assert_not_run(reply: &Reply, context: &str) {
+    assert_eq!(reply.status(), 503, "{context}");
+    let retry_after = reply.head.header("retry-after").and_then(|after| after.parse::<f64>().ok());
+    assert!(retry_after.is_some(), "{context}: no retry-after time");
+}
+
+/// Starts two routers of which the first reaches no replica, so that the second forwards its requests.
+async fn fleet_with_cut_router(configuration: TestConfiguration) -> Fleet {
+    let started = Fleet::start_linked(program(), 2, configuration, &json!({})).await;
+    let mut fleet = started.unwrap();
+    // The second router retries a request that it forwards only if its own callers pay for that.
+    for (method, target) in KINDS.into_iter().cycle().take(16) {
+        let sent = Call::new(method, HOST, target, "own").with_api_key(API_KEY);
+        assert_eq!(call(fleet.routers[1].callers_address(), &sent).await.unwrap().status(), 200);
+    }
+    fleet.links[0].partition(Partition::Resetting);
+    let mut number = 0;
+    wait_until("the first router lost its links and the second serves its requests", async || {
+        number += 1;
+        let mut is_served = true;
+        for kind in [KINDS[0], KINDS[2]] {
+            let reply = send(&fleet, kind, &format!("early{number}{}", kind.1), AMPLE_MS).await;
+            is_served &= reply.status() == 200;
+        }
+        is_served && fleet.routers[0].events("link_lost").len() == 2
+    })
+    .await
+    .unwrap();
+    fleet
+}
+
+fn reset(_: &ReceivedRequest) -> Script {
+    Script::new(vec![Step::Reset])
+}
+
+fn foreign(_: &ReceivedRequest) -> Script {
+    Script::new(vec![Step::Write(raw_response("other", 200, "a verse"))])
+}
+
+fn misdirected(req: &ReceivedRequest) -> Script {
+    Script::misdirected(req, "i-of-another-service")
+}
+
+fn failed(req: &ReceivedRequest) -> Script {
+    Script::response(req, 500, "out of ink")
+}
+
+fn failed_with_503(req: &ReceivedRequest) -> Script {
+    Script::response(req, 503, "failed while running")
+}
+
+fn failed_with_504(req: &ReceivedRequest) -> Script {
+    Script::response(req, 504, "too slow")
+}
+
+fn rejected_with_504(req: &ReceivedRequest) -> Script {
+    let script = failed_with_504(req).with_header("x-not-executed: 1");
+    Script { is_run: false, ..script }
+}
+
+/// What replicas do with the attempts of a request in turn, and the status that its caller gets.
+const ROWS: [(&[Behaviour], u16); 11] = [
+    (&[Script::rejected], 503),
+    (&[misdirected], 503),
+    (&[misdirected, Script::rejected], 503),
+    (&[rejected_with_504], 503),
+    (&[reset, Script::rejected], 502),
+    (&[Script::rejected, reset], 502),
+    (&[foreign, Script::rejected], 502),
+    (&[failed_with_503, Script::rejected], 502),
+    (&[failed, Script::rejected], 500),
+    (&[failed_with_504, Script::rejected], 504),
+    (&[Script::rejected, failed], 500),
+];
+
+/// Checks the status of a request of each kind in a fleet of its own.
+async fn check_row(fleet: &Fleet, (behaviours, status): (&'static [Behaviour], u16), row: usize) {
+    set_behaviours(fleet, behaviours);
+    for kind in KINDS {
+        let reply = send(fleet, kind, &format!("row{row}{}", kind.1), AMPLE_MS).await;
+        let context = format!("row {row}, {}", kind.1);
+        assert_eq!(reply.status(), status, "{context}");
+        if status == 503 {
+            assert_not_run(&reply, &context);
+        }
+    }
+}
+
+/// Guards against an answer that covers only one of the attempts: the last one, or one whose error
+/// answer is passed on.
+#[tokio::test]
+async fn the_answer_covers_all_attempts() {
+    for (row, expected) in ROWS.into_iter().enumerate() {
+        check_row(&fleet(1).await, expected, row).await;
+    }
+}
+
+/// Guards against another router's answer that is taken to say more, or less, than it does.
+#[tokio::test]
+async fn the_answer_of_another_router_covers_all_attempts() {
+    for (row, expected) in ROWS.into_iter().enumerate() {
+        let fleet = fleet_with_cut_router(TestConfiguration::default()).await;
+        check_row(&fleet, expected, row).await;
+    }
+}
