--- a/teaselworks/src/relay/dispatch.rs
+++ b/teaselworks/src/relay/dispatch.rs
@@ -31,6 +31,11 @@
         resumed_after: Option<&str>,
     ) -> Result<Dispatched, Refusal> {
         let now = self.shared.now();
+        // A request that is sent without any time left may be read by a replica that then has no
+        // time to reject it.
+        if self.prepared.deadline.remaining(now).is_zero() {
+            return Err(self.unsent(RefusalReason::Deadline));
+        }
         if !self.shared.fleet().needs_detour(now, &self.prepared.service) {
             let dispatched = self.send_to_replica(resumed_after).await?;
             if !self.has_failed_for_link(&dispatched) {
@@ -39,7 +44,7 @@
         }
         match self.origin {
             Origin::Caller => self.send_through_router(resumed_after).await,
-            Origin::Router { .. } => Err(self.unreachable()),
+            Origin::Router { .. } => Err(self.unsent(RefusalReason::Unreachable)),
         }
     }
 
@@ -109,16 +114,16 @@
             );
             return Ok(Dispatched { answer, in_flight });
         }
-        Err(self.unreachable())
+        Err(self.unsent(RefusalReason::Unreachable))
     }
 
-    /// Returns the refusal of a request whose service cannot be reached from here.
-    fn unreachable(&self) -> Refusal {
+    /// Returns the refusal of a request that is not sent to anything, or not again.
+    fn unsent(&self, reason: RefusalReason) -> Refusal {
         let now = self.shared.now();
         let max_retry_after = self.prepared.deadline.max_retry_after(now);
         let service = &self.prepared.service;
         let retry_after = self.shared.fleet().schedule_retry_after(now, service, max_retry_after);
-        Refusal::not_run(RefusalReason::Unreachable, Some(retry_after))
+        Refusal::not_run(reason, Some(retry_after))
     }
 
     fn log_detour(&self, router: SocketAddr, remaining: Duration) {
--- a/teaselworks/tests/true_answers.rs
+++ b/teaselworks/tests/true_answers.rs
@@ -6,10 +6,11 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use common::{fleet, program};
 use serde_json::json;
-use teaselworks_standin::caller::{Call, Reply, call};
+use teaselworks_standin::caller::{Call, Connection, Reply, call};
 use teaselworks_standin::configuration::{API_KEY, HOST, TestConfiguration};
 use teaselworks_standin::fleet::{Fleet, wait_until};
 use teaselworks_standin::links::Partition;
@@ -154,3 +155,27 @@
         check_row(&fleet, expected, row).await;
     }
 }
+
+/// Guards against a 504 for requests whose time is up before they are sent: the caller left none, or
+/// its body arrived too late.
+#[tokio::test]
+async fn request_whose_time_is_up_before_it_is_sent_is_refused_as_not_run() {
+    let fleet = fleet(1).await;
+    for kind in KINDS {
+        assert_eq!(send(&fleet, kind, "warm", AMPLE_MS).await.status(), 200);
+        assert_not_run(&send(&fleet, kind, "no-time", 0).await, kind.1);
+        let mut caller = Connection::open(fleet.routers[0].callers_address()).await.unwrap();
+        let head = format!(
+            "{} {} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: late\r\nAuthorization: Bearer {API_KEY}\r\n\
+             X-Deadline-Ms: 40\r\nContent-Length: 1\r\n\r\n",
+            kind.0, kind.1
+        );
+        caller.write(head.as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(80)).await;
+        caller.write(b"x").await.unwrap();
+        assert_not_run(&caller.read_reply().await.unwrap().unwrap(), kind.1);
+    }
+    let received =
+        fleet.archives.iter().chain(&fleet.engines).flat_map(|up| up.received_requests());
+    assert!(received.into_iter().all(|req| req.id() == "warm"));
+}
