--- a/teaselworks/src/relay/dispatch.rs
+++ b/teaselworks/src/relay/dispatch.rs
@@ -88,7 +88,7 @@
             let now = self.shared.now();
             let remaining = self.prepared.deadline.remaining(now);
             if remaining.is_zero() {
-                return Err(Refusal::not_run(RefusalReason::Deadline, None));
+                return Err(self.unsent(RefusalReason::Deadline));
             }
             let router = self.shared.fleet().choose_detour(now, &self.prepared.service);
             let (Some(router), Some((body, size_bytes))) = (router, self.body.for_attempt()) else {
--- a/teaselworks/tests/true_answers.rs
+++ b/teaselworks/tests/true_answers.rs
@@ -10,10 +10,12 @@
 
 use common::{fleet, program};
 use serde_json::json;
+use teaselworks::platform::registration_value;
 use teaselworks_standin::caller::{Call, Connection, Reply, call};
 use teaselworks_standin::configuration::{API_KEY, HOST, TestConfiguration};
 use teaselworks_standin::fleet::{Fleet, wait_until};
 use teaselworks_standin::links::Partition;
+use teaselworks_standin::proxy::Proxy;
 use teaselworks_standin::upstream::{ReceivedRequest, Script, Step, raw_response};
 
 /// Method and target of a request of each kind: idempotent, at most once, stream, resumable stream.
@@ -179,3 +181,30 @@
         fleet.archives.iter().chain(&fleet.engines).flat_map(|up| up.received_requests());
     assert!(received.into_iter().all(|req| req.id() == "warm"));
 }
+
+/// Guards against a refusal without a retry-after time where the deadline passes while another router
+/// does not accept the request.
+#[tokio::test]
+async fn request_that_no_router_takes_by_its_deadline_is_refused_as_not_run() {
+    let mut fleet = Fleet::start_with_links(program(), 1).await.unwrap();
+    fleet.links[0].partition(Partition::Resetting);
+    wait_until("the router lost its links", async || {
+        for kind in [KINDS[0], KINDS[2]] {
+            assert_not_run(&send(&fleet, kind, "early", AMPLE_MS).await, kind.1);
+        }
+        fleet.routers[0].events("link_lost").len() == 2
+    })
+    .await
+    .unwrap();
+    let hanging_router = Proxy::start(fleet.routers[0].peers_address()).unwrap();
+    hanging_router.set_faults(|faults| faults.is_unresponsive = true);
+    fleet.store.put("routers/hanging", &registration_value(hanging_router.address()));
+    wait_until("a request of each service was sent to the other router", async || {
+        for kind in KINDS {
+            assert_not_run(&send(&fleet, kind, "late", 40).await, kind.1);
+        }
+        fleet.routers[0].events("detour_taken").len() >= 2
+    })
+    .await
+    .unwrap();
+}
