--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -15,6 +15,7 @@
 use super::origin::MAX_RUNS;
 use super::request::PreparedRequest;
 use super::upstream_connection::Connection;
+use super::write_gate::SendRecord;
 use crate::event;
 use crate::net::CONNECT_TIMEOUT;
 use crate::platform::headers::{self, AddedHeaders, ResponseMetadata};
@@ -64,8 +65,8 @@
     recipient: Recipient<'a>,
     /// Identifier of the event after which a stream is resumed.
     last_event_id: Option<&'a str>,
-    /// Whether any byte of the request may have been written to the connection.
-    was_sent: bool,
+    /// Whether any byte of the request was written.
+    record: SendRecord,
 }
 
 impl<'a> Attempt<'a> {
@@ -75,7 +76,7 @@
         recipient: Recipient<'a>,
         last_event_id: Option<&'a str>,
     ) -> Self {
-        Self { shared, prepared, recipient, last_event_id, was_sent: false }
+        Self { shared, prepared, recipient, last_event_id, record: SendRecord::default() }
     }
 
     /// Sends the request and waits for the head of the answer until the request's deadline.
@@ -90,8 +91,8 @@
         let answer = tokio::time::timeout(remaining, self.exchange(body, size_bytes)).await;
         match answer {
             Ok(answer) => answer,
-            Err(_) if self.was_sent => Err(Failure::Broken),
-            Err(_) => Err(Failure::Unreachable),
+            Err(_) if self.record.close() => Err(Failure::Unreachable),
+            Err(_) => Err(Failure::Broken),
         }
     }
 
@@ -149,13 +150,15 @@
         if connection.sender.ready().await.is_err() {
             return Err(Box::new(request));
         }
-        self.was_sent = true;
+        self.record.set_connection(connection.gate.clone());
         let answer = match connection.sender.try_send_request(request).await {
             Ok(answer) => answer,
             Err(mut error) => {
-                let Some(unsent) = error.take_message() else { return Ok(Err(Failure::Broken)) };
-                self.was_sent = false;
-                return Err(Box::new(unsent));
+                return match error.take_message() {
+                    Some(unsent) => Err(Box::new(unsent)),
+                    None if self.record.close() => Ok(Err(Failure::NotSent)),
+                    None => Ok(Err(Failure::Broken)),
+                };
             }
         };
         let (head, body) = answer.into_parts();
--- a/teaselworks/src/relay/mod.rs
+++ b/teaselworks/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod stream;
 mod stream_origins;
 mod upstream_connection;
+mod write_gate;
 
 pub use self::body::{OutgoingBody, empty_body};
 pub use self::caller::CallerPort;
@@ -31,3 +32,4 @@
 pub use self::open_connections::OpenCallerConnections;
 pub use self::part_change::PartChange;
 pub use self::shared::Shared;
+pub use self::write_gate::{GatedStream, WriteGate};
--- a/teaselworks/src/relay/upstream_connection.rs
+++ b/teaselworks/src/relay/upstream_connection.rs
@@ -13,6 +13,7 @@
 use tokio::task::AbortHandle;
 
 use super::body::OutgoingBody;
+use super::write_gate::{GatedStream, WriteGate};
 
 /// Maximum idle time of a connection whose upstream does not state an idle timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -48,6 +49,8 @@
 /// One connection to an upstream, which carries one request at a time.
 pub(super) struct Connection {
     pub(super) sender: SendRequest<OutgoingBody>,
+    /// Tells whether any byte of the request was written.
+    pub(super) gate: Arc<WriteGate>,
     /// Idle timeout of the upstream, if it states one.
     keep_alive: Option<Duration>,
     handle: ConnectionHandle,
@@ -72,6 +75,8 @@
         active: &Arc<ActiveConnections>,
         on_released: impl FnOnce(IdleConnection) + Send + 'static,
     ) -> hyper::Result<Self> {
+        let stream = GatedStream::new(stream);
+        let gate = stream.gate();
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let (release, released) = oneshot::channel();
         let entry = ActiveEntry::new(active, &incarnation.id);
@@ -85,7 +90,7 @@
             drop(entry);
             // Unread bytes belong to no request and would be taken for the next answer.
             if parts.read_buf.is_empty() {
-                let stream = parts.io.into_inner();
+                let stream = parts.io.into_inner().into_inner();
                 on_released(IdleConnection {
                     incarnation: task_incarnation,
                     stream,
@@ -98,7 +103,7 @@
         let handle =
             ConnectionHandle { incarnation, connection_id, task, was_aborted: Arc::default() };
         active.add(handle.clone());
-        Ok(Self { sender, keep_alive, handle, release: Some(release) })
+        Ok(Self { sender, gate, keep_alive, handle, release: Some(release) })
     }
 
     /// Sets the idle timeout of the upstream. `None` keeps the previous one.
--- /dev/null
+++ b/teaselworks/tests/write_gate.rs
@@ -0,0 +1,48 @@
+//! The record of whether any byte of a request was written to its connection.
+
+use std::io::ErrorKind;
+
+use teaselworks::relay::GatedStream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Opens a connection; returns both of its ends.
+async fn connect() -> (GatedStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    (GatedStream::new(stream), listener.accept().await.unwrap().0)
+}
+
+/// Guards against a request that reaches its upstream although it counts as not sent, because it was
+/// written after its deadline.
+#[tokio::test]
+async fn nothing_is_written_after_the_gate_was_closed() {
+    let (mut stream, mut peer) = connect().await;
+    assert!(stream.gate().close());
+    assert_eq!(stream.write(b"GET").await.unwrap_err().kind(), ErrorKind::BrokenPipe);
+    drop(stream);
+    let mut received = Vec::new();
+    peer.read_to_end(&mut received).await.unwrap();
+    assert!(received.is_empty());
+}
+
+/// Guards against a request that counts as not sent after a part of it was written.
+#[tokio::test]
+async fn a_gate_that_was_written_through_does_not_close() {
+    let (mut stream, _peer) = connect().await;
+    stream.write_all(b"G").await.unwrap();
+    assert!(!stream.gate().close());
+    stream.write_all(b"ET").await.unwrap();
+}
+
+/// Guards against a request that counts as possibly run although its connection was reset before
+/// anything was written.
+#[tokio::test]
+async fn a_write_that_fails_at_once_leaves_nothing_written() {
+    let (mut stream, peer) = connect().await;
+    peer.set_zero_linger().unwrap();
+    drop(peer);
+    assert!(stream.read(&mut [0]).await.is_err());
+    assert!(stream.write(b"GET").await.is_err());
+    assert!(stream.gate().close());
+}
--- a/teaselworks_policy/src/retry/decision.rs
+++ b/teaselworks_policy/src/retry/decision.rs
@@ -16,7 +16,7 @@
     /// No connection to the upstream could be opened, or the deadline passed before the request was
     /// sent.
     Unreachable,
-    /// A new connection was closed before any byte of the request was written.
+    /// The connection was closed before any byte of the request was written.
     NotSent,
     /// The upstream answered that it did not execute the request.
     Rejected,
