--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -79,6 +79,11 @@
         Self { shared, prepared, recipient, last_event_id, record: SendRecord::default() }
     }
 
+    /// Returns the record of whether any byte of the request was written.
+    pub(super) fn record(&self) -> SendRecord {
+        self.record.clone()
+    }
+
     /// Sends the request and waits for the head of the answer until the request's deadline.
     ///
     /// `size_bytes` is the length to send as `content-length` if the body doesn't state it itself.
--- a/teaselworks/src/relay/dispatch.rs
+++ b/teaselworks/src/relay/dispatch.rs
@@ -15,6 +15,9 @@
 
 /// Maximum number of routers that are asked to forward one request.
 const MAX_DETOURS: usize = 8;
+/// Shortest time between two checks for silence, so that a route without a target latency, whose
+/// silence timeout is zero, does not check without pause.
+const MIN_SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
 /// The result of one attempt, at a replica or through another router.
 pub(super) struct Dispatched {
@@ -69,12 +72,18 @@
             let answer = attempt.run(body, size_bytes).await;
             return Ok(Dispatched { answer, in_flight });
         }
-        let silence_timeout = self.prepared.route.silence_timeout();
+        let silence_timeout = self.prepared.route.silence_timeout().max(MIN_SILENCE_CHECK_INTERVAL);
+        let record = attempt.record();
         let mut answer = std::pin::pin!(attempt.run(body, size_bytes));
-        let answer = match tokio::time::timeout(silence_timeout, answer.as_mut()).await {
-            Ok(answer) => answer,
-            Err(_) if self.try_take_silence_retry() => Err(Failure::Silent),
-            Err(_) => answer.await,
+        let answer = loop {
+            match tokio::time::timeout(silence_timeout, answer.as_mut()).await {
+                Ok(answer) => break answer,
+                // A replica that got nothing is not silent, and opening a connection has a timeout of
+                // its own.
+                Err(_) if !record.is_written() => {}
+                Err(_) if self.try_take_silence_retry() => break Err(Failure::Silent),
+                Err(_) => break answer.await,
+            }
         };
         Ok(Dispatched { answer, in_flight })
     }
--- a/teaselworks/src/relay/write_gate.rs
+++ b/teaselworks/src/relay/write_gate.rs
@@ -31,6 +31,11 @@
             self.0.compare_exchange(UNWRITTEN, CLOSED, Ordering::AcqRel, Ordering::Acquire);
         closed != Err(WRITTEN)
     }
+
+    /// Returns whether bytes were written.
+    fn is_written(&self) -> bool {
+        self.0.load(Ordering::Acquire) == WRITTEN
+    }
 }
 
 /// A TCP connection that records in its gate whether anything was written to it.
@@ -132,6 +137,11 @@
         self.lock().as_ref().is_none_or(|gate| gate.close())
     }
 
+    /// Returns whether bytes were written.
+    pub(super) fn is_written(&self) -> bool {
+        self.lock().as_ref().is_some_and(|gate| gate.is_written())
+    }
+
     fn lock(&self) -> MutexGuard<'_, Option<Arc<WriteGate>>> {
         self.0.lock().expect("send record lock is never poisoned")
     }
--- a/teaselworks/tests/true_answers.rs
+++ b/teaselworks/tests/true_answers.rs
@@ -208,3 +208,28 @@
     .await
     .unwrap();
 }
+
+/// Guards against a 502 or 504 for requests that no connection was opened for: refused ones, ones
+/// whose deadline passes meanwhile, and ones that are abandoned for another replica since nothing
+/// arrives.
+#[tokio::test]
+async fn request_without_a_connection_is_refused_as_not_run() {
+    let mut configuration = TestConfiguration::default();
+    for partition in [Partition::Hanging, Partition::RefusingNew] {
+        for (target_ms, deadline_ms) in [(20, 40), (20, AMPLE_MS), (0, 40)] {
+            for prefix in ["/read/", "/gloss/"] {
+                configuration.route_mut(prefix)["target_latency_ms"] = json!(target_ms);
+                configuration.route_mut(prefix)["target_gap_ms"] = json!(target_ms);
+            }
+            for kind in KINDS {
+                let started =
+                    Fleet::start_linked(program(), 1, configuration.clone(), &json!({})).await;
+                let mut fleet = started.unwrap();
+                fleet.links[0].partition(partition);
+                let reply = send(&fleet, kind, "unsent", deadline_ms).await;
+                let context = format!("{partition:?}, {target_ms}, {deadline_ms}, {}", kind.1);
+                assert_not_run(&reply, &context);
+            }
+        }
+    }
+}
