--- a/teaselworks/src/platform/headers.rs
+++ b/teaselworks/src/platform/headers.rs
@@ -226,7 +226,7 @@
         }
         forwarded.append(name.clone(), value.clone());
     }
-    forwarded.insert(DEADLINE, HeaderValue::from(added.remaining.as_millis() as u64));
+    set_remaining(&mut forwarded, added.remaining);
     insert_if_valid(&mut forwarded, EXPECT_INSTANCE, added.upstream_id);
     if let Some(workspace) = added.workspace {
         insert_if_valid(&mut forwarded, TENANT, workspace);
@@ -265,13 +265,18 @@
             forwarded.append(name.clone(), value.clone());
         }
     }
-    forwarded.insert(DEADLINE, HeaderValue::from(remaining.as_millis() as u64));
+    set_remaining(&mut forwarded, remaining);
     if let Some(id) = last_event_id {
         insert_if_valid(&mut forwarded, LAST_EVENT_ID, id);
     }
     forwarded
 }
 
+/// States the time left until the deadline of a request in its headers.
+pub fn set_remaining(headers: &mut HeaderMap, remaining: Duration) {
+    headers.insert(DEADLINE, HeaderValue::from(remaining.as_millis() as u64));
+}
+
 /// Inserts a header unless its value contains characters that a header cannot carry.
 fn insert_if_valid(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     // Names in the configuration may contain such characters. The header is then left out, and an
--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::header;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
@@ -65,6 +66,10 @@
     recipient: Recipient<'a>,
     /// Identifier of the event after which a stream is resumed.
     last_event_id: Option<&'a str>,
+    /// Time by which the recipient's deadline is shorter than the request's.
+    reply_margin: Duration,
+    /// Time after the deadline for which the recipient's word is awaited.
+    reply_wait: Duration,
     /// Whether any byte of the request was written.
     record: SendRecord,
 }
@@ -75,8 +80,18 @@
         prepared: &'a PreparedRequest,
         recipient: Recipient<'a>,
         last_event_id: Option<&'a str>,
+        reply_wait: Duration,
     ) -> Self {
-        Self { shared, prepared, recipient, last_event_id, record: SendRecord::default() }
+        let reply_margin = shared.fleet().connect_times.reply_margin();
+        Self {
+            shared,
+            prepared,
+            recipient,
+            last_event_id,
+            reply_margin,
+            reply_wait,
+            record: SendRecord::default(),
+        }
     }
 
     /// Returns the record of whether any byte of the request was written.
@@ -84,7 +99,9 @@
         self.record.clone()
     }
 
-    /// Sends the request and waits for the head of the answer until the request's deadline.
+    /// Sends the request and waits for the head of the answer until the request's deadline, and a
+    /// little longer if any of the request was written: the recipient may just be saying that it has
+    /// not run it.
     ///
     /// `size_bytes` is the length to send as `content-length` if the body doesn't state it itself.
     pub(super) async fn run(
@@ -93,12 +110,18 @@
         size_bytes: Option<u64>,
     ) -> Result<Answer, Failure> {
         let remaining = self.prepared.deadline.remaining(self.shared.now());
-        let answer = tokio::time::timeout(remaining, self.exchange(body, size_bytes)).await;
-        match answer {
-            Ok(answer) => answer,
-            Err(_) if self.record.close() => Err(Failure::Unreachable),
-            Err(_) => Err(Failure::Broken),
+        let record = self.record.clone();
+        let reply_wait = self.reply_wait;
+        let mut exchange = std::pin::pin!(self.exchange(body, size_bytes));
+        if let Ok(answer) = tokio::time::timeout(remaining, exchange.as_mut()).await {
+            return answer;
+        }
+        if record.close() {
+            return Err(Failure::Unreachable);
         }
+        // Counted from now, and not from the deadline: a process that was not scheduled meanwhile has
+        // yet to read what has arrived.
+        tokio::time::timeout(reply_wait, exchange).await.unwrap_or(Err(Failure::Broken))
     }
 
     /// Sends the request on an idle connection. If there is none, or it was closed before any byte
@@ -125,6 +148,8 @@
         }
         let connection =
             self.open_connection(&incarnation).await.map_err(|_| Failure::Unreachable)?;
+        // Opening the connection has taken some of the time that the headers state.
+        headers::set_remaining(request.headers_mut(), self.remaining_upstream());
         match self.send(connection, request).await {
             Ok(answer) => answer,
             Err(_unsent) => Err(Failure::NotSent),
@@ -200,9 +225,14 @@
         request
     }
 
+    /// Returns the time left to state to the recipient.
+    fn remaining_upstream(&self) -> Duration {
+        self.prepared.deadline.remaining_upstream(self.shared.now(), self.reply_margin)
+    }
+
     fn router_request_headers(&self, max_runs: u32) -> HeaderMap {
         let prepared = self.prepared;
-        let remaining = prepared.deadline.remaining(self.shared.now());
+        let remaining = self.remaining_upstream();
         let mut headers =
             headers::router_request_headers(&prepared.headers, remaining, self.last_event_id);
         headers.insert(MAX_RUNS, HeaderValue::from(max_runs));
@@ -217,7 +247,7 @@
         let prepared = self.prepared;
         let added = AddedHeaders {
             upstream_id: &upstream.id,
-            remaining: prepared.deadline.remaining(self.shared.now()),
+            remaining: self.remaining_upstream(),
             workspace: prepared.workspace.as_ref().map(|workspace| &*workspace.name),
             priority: prepared.route.has_prompts.then(|| prepared.priority()),
             holder,
--- a/teaselworks/src/relay/dispatch.rs
+++ b/teaselworks/src/relay/dispatch.rs
@@ -67,7 +67,10 @@
             self.body.for_attempt().ok_or(Refusal::may_have_run(RefusalReason::UpstreamFailed))?;
         let recipient =
             Recipient::Replica { upstream: &placement.upstream, holder: placement.holder };
-        let mut attempt = Attempt::new(&self.shared, &self.prepared, recipient, resumed_after);
+        // A stream that is resumed has begun: its caller gets no status any more.
+        let reply_wait = if resumed_after.is_some() { Duration::ZERO } else { self.reply_wait() };
+        let mut attempt =
+            Attempt::new(&self.shared, &self.prepared, recipient, resumed_after, reply_wait);
         if resumed_after.is_some() {
             let answer = attempt.run(body, size_bytes).await;
             return Ok(Dispatched { answer, in_flight });
@@ -105,7 +108,9 @@
             };
             self.log_detour(router, remaining);
             let recipient = Recipient::Router { address: router, max_runs: self.remaining_runs() };
-            let mut attempt = Attempt::new(&self.shared, &self.prepared, recipient, resumed_after);
+            let reply_wait = self.reply_wait();
+            let mut attempt =
+                Attempt::new(&self.shared, &self.prepared, recipient, resumed_after, reply_wait);
             let answer = attempt.run(body, size_bytes).await;
             let is_unavailable = answer
                 .as_ref()
--- a/teaselworks/src/relay/request_state.rs
+++ b/teaselworks/src/relay/request_state.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::HeaderMap;
 use teaselworks_policy::configuration::Configuration;
@@ -19,6 +20,7 @@
 use super::origin::Origin;
 use super::request::{PreparedRequest, RequestBody};
 use crate::event::{self, Event};
+use crate::kernel::ShutdownPhase;
 
 /// State of a request that is being served, across all its attempts.
 pub(super) struct RequestState {
@@ -85,6 +87,24 @@
         self.stream_origin = Some(Arc::new(origin));
     }
 
+    /// Returns the time after the deadline for which the word of an upstream is awaited.
+    ///
+    /// A router that forwards a request has left itself that time already: the deadline that it
+    /// states is earlier than its own. A stopping router admits requests by their deadlines and exits
+    /// when these have passed.
+    pub(super) fn reply_wait(&self) -> Duration {
+        let is_stopping = self.shared.shutdown.phase() > ShutdownPhase::Running;
+        match self.origin {
+            Origin::Caller if !is_stopping => self.shared.fleet().connect_times.reply_margin(),
+            Origin::Caller | Origin::Router { .. } => Duration::ZERO,
+        }
+    }
+
+    /// Returns the time left for an answer whose head has arrived.
+    pub(super) fn remaining_for_answer(&self) -> Duration {
+        (self.prepared.deadline.end() + self.reply_wait()).saturating_sub(self.shared.now())
+    }
+
     /// Returns how many more times the request may run.
     pub(super) fn remaining_runs(&self) -> u32 {
         self.max_runs.saturating_sub(self.runs)
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -221,7 +221,7 @@
         self.read_to_end(answer, in_flight).await
     }
 
-    /// Reads the answer to its end within the deadline. An answer larger than
+    /// Reads the answer to its end within the time left for it. An answer larger than
     /// [`MAX_BUFFERED_ANSWER_BYTES`] is forwarded while the rest of it arrives.
     ///
     /// A complete answer counts as a failed attempt if its status is a server error, or one from
@@ -233,7 +233,7 @@
     ) -> AttemptResult {
         let mut bytes = BytesMut::new();
         loop {
-            let remaining = self.prepared.deadline.remaining(self.shared.now());
+            let remaining = self.remaining_for_answer();
             let frame = tokio::time::timeout(remaining, answer.body.frame()).await;
             let data = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -70,6 +70,9 @@
     request_state.release_request();
     let splitter = answer.has_events().then(EventSplitter::default);
     let remaining = request_state.prepared.deadline.remaining(request_state.shared.now());
+    // An answer that begins after the deadline is forwarded if it is ready.
+    let remaining =
+        if remaining.is_zero() { request_state.remaining_for_answer() } else { remaining };
     let StreamingAnswer { status, mut headers, source, buffered } = answer;
     if let Origin::Router { .. } = request_state.origin {
         headers::set_upstream_id(&mut headers, source.in_flight.upstream());
--- a/teaselworks/tests/true_answers.rs
+++ b/teaselworks/tests/true_answers.rs
@@ -238,3 +238,95 @@
         }
     }
 }
+
+/// Deadline of requests that wait in the queue of a replica until it has passed.
+const QUEUED_MS: u64 = 300;
+
+/// Time after which a replica notices that the deadline of a request has passed.
+const NOTICING: Duration = Duration::from_millis(5);
+
+/// Rejects a request when the deadline that it states has passed, without running it.
+fn reject_at_deadline(req: &ReceivedRequest) -> Script {
+    let deadline_ms = req.head.header("x-deadline-ms").unwrap().parse().unwrap();
+    let mut script = Script::rejected(req);
+    script.steps.insert(0, Step::Pause(Duration::from_millis(deadline_ms) + NOTICING));
+    script
+}
+
+/// Answers a request when the deadline that it states has passed.
+fn answer_at_deadline(req: &ReceivedRequest) -> Script {
+    let script = Script { is_run: true, ..reject_at_deadline(req) };
+    let pause = script.steps[0].clone();
+    let is_stream = ["/chat/a", "/gloss/a"].contains(&req.target().1);
+    let mut answer = if is_stream {
+        Script::stream(req, 1..6, Duration::ZERO, true)
+    } else {
+        Script::response(req, 200, "a verse")
+    };
+    answer.steps.insert(0, pause);
+    answer
+}
+
+/// Answers a request when its caller's deadline has passed, which is later than the one stated to
+/// the replica.
+fn answer_too_late(req: &ReceivedRequest) -> Script {
+    let mut script = answer_at_deadline(req);
+    script.steps[0] = Step::Pause(Duration::from_millis(QUEUED_MS));
+    script
+}
+
+fn silent(_: &ReceivedRequest) -> Script {
+    Script::new(vec![Step::Silence])
+}
+
+/// What replicas do with requests that have waited until their deadline, and the status that callers
+/// get.
+const LATE_ROWS: [(&[Behaviour], u16); 3] =
+    [(&[reject_at_deadline], 503), (&[answer_at_deadline], 200), (&[silent], 504)];
+
+/// Checks the status of a request of each kind that waits at a replica until its deadline. Other
+/// processes may delay a replica's word by more than the router waits, so some requests are tried again.
+async fn check_late_rows(fleet: &Fleet, rows: &[(&'static [Behaviour], u16)]) {
+    for (row, (behaviours, status)) in rows.iter().copied().enumerate() {
+        set_behaviours(fleet, behaviours);
+        for kind in KINDS {
+            let mut replies = Vec::new();
+            while replies.len() < 5
+                && replies.last().is_none_or(|last: &Reply| last.status() != status)
+            {
+                let id = format!("queued{row}{}{}", kind.1, replies.len());
+                replies.push(send(fleet, kind, &id, QUEUED_MS).await);
+            }
+            let context = format!("row {row}, {}", kind.1);
+            let last = replies.last().unwrap();
+            assert_eq!((last.status(), last.body.is_whole), (status, true), "{context}");
+            assert!(
+                replies.iter().all(|reply| [status, 504].contains(&reply.status())),
+                "{context}"
+            );
+            if status == 503 {
+                assert_not_run(last, &context);
+            }
+        }
+    }
+}
+
+/// Guards against a 504 for a request that a replica rejects unexecuted when its deadline has passed
+/// in the replica's queue, and against an answer that is ready then and dropped.
+#[tokio::test]
+async fn word_of_a_replica_at_the_deadline_reaches_the_caller() {
+    check_late_rows(&fleet(1).await, &LATE_ROWS).await;
+}
+
+/// Guards against the same where another router forwards the request.
+#[tokio::test]
+async fn word_of_a_replica_at_the_deadline_reaches_the_caller_through_another_router() {
+    let fleet = fleet_with_cut_router(TestConfiguration::default()).await;
+    check_late_rows(&fleet, &LATE_ROWS).await;
+}
+
+/// Guards against an answer that is dropped since it arrives right after the deadline.
+#[tokio::test]
+async fn answer_right_after_the_deadline_is_delivered() {
+    check_late_rows(&fleet(1).await, &[(&[answer_too_late], 200)]).await;
+}
--- a/teaselworks_policy/src/deadline.rs
+++ b/teaselworks_policy/src/deadline.rs
@@ -12,6 +12,8 @@
 /// Share of the baseline below which a timeout means that its caller has already spent part of its
 /// time waiting.
 const LATE_THRESHOLD: f64 = 0.97;
+/// Largest share of the time left that an upstream's deadline is shortened by.
+const MAX_MARGIN_SHARE: u32 = 4;
 
 /// Baseline of the timeouts that callers of each route send: the shortest timeout that is usual for
 /// a first attempt.
@@ -100,6 +102,26 @@
         self.end.saturating_sub(now)
     }
 
+    /// Returns the time left to state to an upstream, whose word takes at most `reply_margin` to
+    /// arrive here.
+    ///
+    /// An upstream rejects a request whose time has passed in its queue. The rejection would arrive
+    /// too late if the upstream had all of the time left.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselworks_policy::deadline::Deadline;
+    ///
+    /// let ms = Duration::from_millis;
+    /// let deadline = Deadline::new(ms(0), None, ms(1_000));
+    /// assert_eq!(deadline.remaining_upstream(ms(0), ms(20)), ms(980));
+    /// assert_eq!(deadline.remaining_upstream(ms(960), ms(20)), ms(30));
+    /// ```
+    pub fn remaining_upstream(&self, now: Duration, reply_margin: Duration) -> Duration {
+        let remaining = self.remaining(now);
+        remaining - reply_margin.min(remaining / MAX_MARGIN_SHARE)
+    }
+
     /// Returns the clock reading at which the request arrived.
     pub fn arrived(&self) -> Duration {
         self.arrived
--- a/teaselworks_policy/src/upstream/connecting.rs
+++ b/teaselworks_policy/src/upstream/connecting.rs
@@ -16,6 +16,15 @@
 const MAX_TIMEOUT: Duration = Duration::from_millis(400);
 /// Weight of the latest connection in the exponential moving average.
 const LATEST_WEIGHT: f64 = 0.1;
+/// Reply margin as a multiple of the average time to open a connection, which takes one round trip
+/// and this router's time to notice.
+const REPLY_MARGIN_MULTIPLE: u32 = 2;
+/// Minimum reply margin. An upstream and a router that share CPU cores with others are often some
+/// milliseconds late. Chosen, not measured.
+const MIN_REPLY_MARGIN: Duration = Duration::from_millis(20);
+/// Maximum reply margin, which bounds how long callers are held beyond their deadline. Chosen, not
+/// measured.
+const MAX_REPLY_MARGIN: Duration = Duration::from_millis(50);
 /// Consecutive timeouts that indicate that the router's own network link is slow.
 const SLOW_LINK_TIMEOUTS: u32 = 4;
 
@@ -51,6 +60,24 @@
         self.consecutive_timeouts = self.consecutive_timeouts.saturating_add(1);
     }
 
+    /// Returns the time to allow for the word of an upstream to arrive, from when the upstream sends
+    /// it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselworks_policy::upstream::ConnectTimes;
+    ///
+    /// let mut times = ConnectTimes::default();
+    /// assert_eq!(times.reply_margin(), Duration::from_millis(50));
+    /// times.on_opened(Duration::from_millis(15));
+    /// assert_eq!(times.reply_margin(), Duration::from_millis(30));
+    /// ```
+    pub fn reply_margin(&self) -> Duration {
+        self.mean.map_or(MAX_REPLY_MARGIN, |mean| {
+            (mean * REPLY_MARGIN_MULTIPLE).clamp(MIN_REPLY_MARGIN, MAX_REPLY_MARGIN)
+        })
+    }
+
     /// Returns the timeout for opening a connection.
     ///
     /// It is the maximum until a connection has been opened, and after several timeouts in a row.
