--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -2,6 +2,7 @@
 //! the response.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -28,7 +29,10 @@
 
 /// Retry-after time of requests that are refused because no configuration is known yet. A router
 /// that starts up receives the configuration within a fraction of a second.
-const STARTUP_RETRY_AFTER: std::time::Duration = std::time::Duration::from_millis(500);
+const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Longest retry-after time of requests for which this router knows no service or no version of its
+/// software. Both become known by a change of the configuration or at another router.
+const UNKNOWN_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Size up to which an answer is buffered until it is complete. If a buffered answer breaks off,
 /// the request can be retried, or the caller gets an error status instead of a truncated answer.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 256 << 10;
@@ -47,10 +51,17 @@
         Ok(metadata) => metadata,
         Err(_) => {
             let progress = RequestProgress::begin(shared, "".into(), origin);
-            return refuse(progress, None, &not_run_refusal(RefusalReason::Malformed), 0, None);
+            return refuse(
+                progress,
+                None,
+                &not_run_refusal(RefusalReason::Malformed, None),
+                0,
+                None,
+            );
         }
     };
     let id = metadata.id.clone();
+    let caller_timeout = metadata.deadline;
     let mut progress = RequestProgress::begin(shared.clone(), id.clone(), origin);
     let Some(configuration) = shared.configuration().await else {
         let refusal = Refusal::not_run(RefusalReason::NoConfiguration, Some(STARTUP_RETRY_AFTER));
@@ -59,7 +70,10 @@
     let version = Some(configuration.version);
     let mut prepared = match request::check(head, metadata, &configuration, shared.now()) {
         Ok(prepared) => prepared,
-        Err(reason) => return refuse(progress, Some(&id), &not_run_refusal(reason), 0, version),
+        Err(reason) => {
+            let refusal = not_run_refusal(reason, caller_timeout);
+            return refuse(progress, Some(&id), &refusal, 0, version);
+        }
     };
     progress.set_route(prepared.route.name.clone(), prepared.route.kind);
     if let Err(refusal) = shared.admit(&prepared.route.name, &prepared.deadline) {
@@ -81,13 +95,15 @@
     let body = match body {
         Ok(body) => body,
         Err(reason) => {
-            return refuse(progress, Some(&id), &not_run_refusal(reason), 0, version);
+            let refusal = not_run_refusal(reason, caller_timeout);
+            return refuse(progress, Some(&id), &refusal, 0, version);
         }
     };
     let stream_origin = match bind_to_origin(&shared, &mut prepared).await {
         Ok(stream_origin) => stream_origin,
         Err(reason) => {
-            return refuse(progress, Some(&id), &not_run_refusal(reason), 0, version);
+            let refusal = not_run_refusal(reason, caller_timeout);
+            return refuse(progress, Some(&id), &refusal, 0, version);
         }
     };
     let state = RequestState::new(shared, prepared, configuration, body, origin, stream_origin);
@@ -119,9 +135,14 @@
     Ok(Some(origin))
 }
 
-/// Returns a refusal of a request that was not run, without a retry-after time.
-fn not_run_refusal(reason: RefusalReason) -> Refusal {
-    Refusal::not_run(reason, None)
+/// Returns a refusal of a request for which no replica was looked for. It has a retry-after time if
+/// its status is 503: at most a third of `caller_timeout`, since the retry needs the rest.
+fn not_run_refusal(reason: RefusalReason, caller_timeout: Option<Duration>) -> Refusal {
+    let refusal = Refusal::not_run(reason, None);
+    let max_retry_after = caller_timeout.map_or(UNKNOWN_TARGET_RETRY_AFTER, |timeout| timeout / 3);
+    let is_unavailable = refusal.http_status() == StatusCode::SERVICE_UNAVAILABLE.as_u16();
+    let retry_after = is_unavailable.then(|| UNKNOWN_TARGET_RETRY_AFTER.min(max_retry_after));
+    Refusal { retry_after, ..refusal }
 }
 
 /// Records the refusal and returns the router's own response for it.
--- a/teaselworks/tests/true_answers.rs
+++ b/teaselworks/tests/true_answers.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use common::{fleet, program};
+use common::{fleet, fleet_with, program};
 use serde_json::json;
 use teaselworks::platform::registration_value;
 use teaselworks_standin::caller::{Call, Connection, Reply, call};
@@ -162,6 +162,32 @@
     }
 }
 
+/// Guards against a 502 or 504 for requests that no connection was opened for: refused ones, ones
+/// whose deadline passes meanwhile, and ones that are abandoned for another replica since nothing
+/// arrives.
+#[tokio::test]
+async fn request_without_a_connection_is_refused_as_not_run() {
+    let mut configuration = TestConfiguration::default();
+    for partition in [Partition::Hanging, Partition::RefusingNew] {
+        for (target_ms, deadline_ms) in [(20, 40), (20, AMPLE_MS), (0, 40)] {
+            for prefix in ["/read/", "/gloss/"] {
+                configuration.route_mut(prefix)["target_latency_ms"] = json!(target_ms);
+                configuration.route_mut(prefix)["target_gap_ms"] = json!(target_ms);
+            }
+            for kind in KINDS {
+                let started =
+                    Fleet::start_linked(program(), 1, configuration.clone(), &json!({})).await;
+                let mut fleet = started.unwrap();
+                fleet.links[0].partition(partition);
+                tokio::time::sleep(PARTITION_TIME).await;
+                let reply = send(&fleet, kind, "unsent", deadline_ms).await;
+                let context = format!("{partition:?}, {target_ms}, {deadline_ms}, {}", kind.1);
+                assert_not_run(&reply, &context);
+            }
+        }
+    }
+}
+
 /// Guards against a 504 for requests whose time is up before they are sent: the caller left none, or
 /// its body arrived too late.
 #[tokio::test]
@@ -213,32 +239,6 @@
     .unwrap();
 }
 
-/// Guards against a 502 or 504 for requests that no connection was opened for: refused ones, ones
-/// whose deadline passes meanwhile, and ones that are abandoned for another replica since nothing
-/// arrives.
-#[tokio::test]
-async fn request_without_a_connection_is_refused_as_not_run() {
-    let mut configuration = TestConfiguration::default();
-    for partition in [Partition::Hanging, Partition::RefusingNew] {
-        for (target_ms, deadline_ms) in [(20, 40), (20, AMPLE_MS), (0, 40)] {
-            for prefix in ["/read/", "/gloss/"] {
-                configuration.route_mut(prefix)["target_latency_ms"] = json!(target_ms);
-                configuration.route_mut(prefix)["target_gap_ms"] = json!(target_ms);
-            }
-            for kind in KINDS {
-                let started =
-                    Fleet::start_linked(program(), 1, configuration.clone(), &json!({})).await;
-                let mut fleet = started.unwrap();
-                fleet.links[0].partition(partition);
-                tokio::time::sleep(PARTITION_TIME).await;
-                let reply = send(&fleet, kind, "unsent", deadline_ms).await;
-                let context = format!("{partition:?}, {target_ms}, {deadline_ms}, {}", kind.1);
-                assert_not_run(&reply, &context);
-            }
-        }
-    }
-}
-
 /// Deadline of requests that wait in the queue of a replica until it has passed.
 const QUEUED_MS: u64 = 300;
 
@@ -330,3 +330,12 @@
 async fn answer_right_after_the_deadline_is_delivered() {
     check_late_rows(&fleet(1).await, &[(&[answer_too_late], 200)]).await;
 }
+
+/// Guards against a refusal without a retry-after time where the route sends requests to no service.
+#[tokio::test]
+async fn request_of_a_route_without_a_service_is_refused_with_retry_after() {
+    let mut configuration = TestConfiguration::default();
+    configuration.route_mut("/read/")["service"] = json!(null);
+    let fleet = fleet_with(1, configuration, &json!({})).await;
+    assert_not_run(&send(&fleet, KINDS[0], "nowhere", AMPLE_MS).await, "no service");
+}
--- a/teaselworks/tests/versions.rs
+++ b/teaselworks/tests/versions.rs
@@ -130,6 +130,7 @@
         let sent = resuming(&id, &format!("never{number}"), number);
         let reply = call(fleet.routers[0].callers_address(), &sent).await.unwrap();
         assert_eq!(reply.status(), 503, "{number}");
+        assert!(reply.head.header("retry-after").is_some(), "{number}");
         assert_eq!(count_runs(&fleet, &id), 0, "{number}");
     }
     let refused = fleet.routers[0].wait_for_events("request_refused", STREAMS).await.unwrap();
