--- a/teaselworks/src/relay/write_gate.rs
+++ b/teaselworks/src/relay/write_gate.rs
@@ -39,15 +39,21 @@
 }
 
 /// A TCP connection that records in its gate whether anything was written to it.
+///
+/// A failed write is not reported: it stays pending, and reading goes on. An upstream that rejects a
+/// request before it has read the whole body closes its connection, and the HTTP library would give
+/// the connection up on the failed write without reading the rejection. Once that is read, reading
+/// fails or ends, too.
 pub struct GatedStream {
     stream: TcpStream,
     gate: Arc<WriteGate>,
+    has_write_failed: bool,
 }
 
 impl GatedStream {
     /// Puts a stream behind a gate of its own, which counts only what is written from now on.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, gate: Arc::default() }
+        Self { stream, gate: Arc::default(), has_write_failed: false }
     }
 
     /// Returns the gate.
@@ -64,18 +70,28 @@
     /// gate as it was.
     fn poll_gated(
         &mut self,
-        write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+        context: &mut Context<'_>,
+        write: impl FnOnce(Pin<&mut TcpStream>, &mut Context<'_>) -> Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
+        if self.has_write_failed {
+            return Poll::Pending;
+        }
         let state = &self.gate.0;
         let entered =
             state.compare_exchange(UNWRITTEN, WRITTEN, Ordering::AcqRel, Ordering::Acquire);
         if entered == Err(CLOSED) {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
-        let polled = write(Pin::new(&mut self.stream));
+        let polled = write(Pin::new(&mut self.stream), context);
         if entered.is_ok() && !matches!(polled, Poll::Ready(Ok(1..))) {
             state.store(UNWRITTEN, Ordering::Release);
         }
+        if matches!(polled, Poll::Ready(Err(_))) {
+            self.has_write_failed = true;
+            // What has arrived may have been announced before the write failed.
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         polled
     }
 }
@@ -96,7 +112,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.poll_gated(|stream| stream.poll_write(context, bytes))
+        self.poll_gated(context, |stream, context| stream.poll_write(context, bytes))
     }
 
     fn poll_write_vectored(
@@ -104,7 +120,7 @@
         context: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll_gated(|stream| stream.poll_write_vectored(context, bytes))
+        self.poll_gated(context, |stream, context| stream.poll_write_vectored(context, bytes))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/teaselworks/tests/true_answers.rs
+++ b/teaselworks/tests/true_answers.rs
@@ -12,11 +12,12 @@
 use serde_json::json;
 use teaselworks::platform::registration_value;
 use teaselworks_standin::caller::{Call, Connection, Reply, call};
-use teaselworks_standin::configuration::{API_KEY, HOST, TestConfiguration};
+use teaselworks_standin::configuration::{API_KEY, ARCHIVE_SERVICE, HOST, TestConfiguration};
 use teaselworks_standin::fleet::{Fleet, wait_until};
 use teaselworks_standin::links::Partition;
 use teaselworks_standin::proxy::Proxy;
 use teaselworks_standin::upstream::{ReceivedRequest, Script, Step, raw_response};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// Method and target of a request of each kind: idempotent, at most once, stream, resumable stream.
 const KINDS: [(&str, &str); 4] =
@@ -339,3 +340,35 @@
     let fleet = fleet_with(1, configuration, &json!({})).await;
     assert_not_run(&send(&fleet, KINDS[0], "nowhere", AMPLE_MS).await, "no service");
 }
+
+/// Guards against a rejection that is lost since the replica closes its connection before it has read
+/// all of a long body: the router could fail on writing the rest first.
+#[tokio::test]
+async fn rejection_before_the_end_of_the_body_reaches_the_caller() {
+    let fleet = fleet(1).await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    fleet.remove_entry(&fleet.archives[1].id);
+    fleet.put_entry_at(
+        &fleet.archives[0],
+        listener.local_addr().unwrap(),
+        ARCHIVE_SERVICE,
+        "ready",
+    );
+    fleet.routers[0].wait_for_events("upstream_gone", 1).await.unwrap();
+    let rejecting = tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.read_exact(&mut [0; 256]).await.unwrap();
+            let head = "HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(head.as_bytes()).await.unwrap();
+        }
+    });
+    for number in 0..20 {
+        let sent = Call::new("POST", HOST, "/write/a", &format!("long{number}"))
+            .with_api_key(API_KEY)
+            .with_body(&"x".repeat(900_000));
+        let reply = call(fleet.routers[0].callers_address(), &sent).await.unwrap();
+        assert_not_run(&reply, &sent.headers[1].1);
+    }
+    rejecting.abort();
+}
