--- a/teaselworks/tests/true_answers.rs
+++ b/teaselworks/tests/true_answers.rs
@@ -213,10 +213,8 @@
     assert!(received.into_iter().all(|req| req.id() == "warm"));
 }
 
-/// Guards against a refusal without a retry-after time where the deadline passes while another router
-/// does not accept the request.
-#[tokio::test]
-async fn request_that_no_router_takes_by_its_deadline_is_refused_as_not_run() {
+/// Starts a router that reaches no replica and knows no other router.
+async fn cut_router() -> Fleet {
     let mut fleet = Fleet::start_with_links(program(), 1).await.unwrap();
     fleet.links[0].partition(Partition::Resetting);
     wait_until("the router lost its links", async || {
@@ -227,6 +225,40 @@
     })
     .await
     .unwrap();
+    fleet
+}
+
+/// Guards against a status that says that a request has not run after another router, which took it,
+/// broke off.
+#[tokio::test]
+async fn request_that_another_router_took_and_broke_off_may_have_run() {
+    let fleet = cut_router().await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let breaking = tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 4_096]).await;
+        }
+    });
+    fleet.store.put("routers/breaking", &registration_value(address));
+    for kind in KINDS {
+        wait_until("the other router took the request", async || {
+            send(&fleet, kind, "taken", AMPLE_MS).await.status() == 502
+        })
+        .await
+        .unwrap();
+    }
+    let detours = fleet.routers[0].wait_for_events("detour_taken", KINDS.len()).await.unwrap();
+    assert_eq!(detours.len(), KINDS.len(), "a request was answered otherwise, or sent again");
+    breaking.abort();
+}
+
+/// Guards against a refusal without a retry-after time where the deadline passes while another router
+/// does not accept the request.
+#[tokio::test]
+async fn request_that_no_router_takes_by_its_deadline_is_refused_as_not_run() {
+    let fleet = cut_router().await;
     let hanging_router = Proxy::start(fleet.routers[0].peers_address()).unwrap();
     hanging_router.set_faults(|faults| faults.is_unresponsive = true);
     fleet.store.put("routers/hanging", &registration_value(hanging_router.address()));
@@ -372,3 +404,38 @@
     }
     rejecting.abort();
 }
+
+/// Guards against an idempotent request that is called not run after it was abandoned at a silent
+/// replica, which may still run it, and rejected by another one.
+#[tokio::test]
+async fn silent_attempt_before_a_rejection_may_have_run() {
+    let mut configuration = TestConfiguration::default();
+    for prefix in ["/read/", "/gloss/"] {
+        configuration.route_mut(prefix)["target_latency_ms"] = json!(50);
+        configuration.route_mut(prefix)["target_gap_ms"] = json!(50);
+    }
+    let fleet = fleet_with(1, configuration, &json!({})).await;
+    set_behaviours(&fleet, &[silent, Script::rejected]);
+    for kind in [KINDS[0], KINDS[3]] {
+        assert_eq!(send(&fleet, kind, kind.1, AMPLE_MS).await.status(), 502, "{}", kind.1);
+    }
+    fleet.routers[0].wait_for_events("attempt_abandoned", 2).await.unwrap();
+}
+
+/// Guards against a stream that looks complete, or is called not run, after it broke off and no engine
+/// went on with it.
+#[tokio::test]
+async fn stream_that_is_resumed_nowhere_is_incomplete() {
+    let fleet = fleet(1).await;
+    set_behaviours(
+        &fleet,
+        &[
+            |req| Script::stream(req, 1..3, Duration::ZERO, false).then(Step::Close),
+            Script::rejected,
+        ],
+    );
+    for kind in [KINDS[2], KINDS[3]] {
+        let reply = send(&fleet, kind, kind.1, AMPLE_MS).await;
+        assert_eq!((reply.status(), reply.body.is_whole), (200, false), "{}", kind.1);
+    }
+}
