--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::header;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
@@ -15,6 +16,7 @@
 use super::origin::MAX_RUNS;
 use super::request::PreparedRequest;
 use super::upstream_connection::Connection;
+use super::write_gate::SendRecord;
 use crate::event;
 use crate::net::CONNECT_TIMEOUT;
 use crate::platform::headers::{self, AddedHeaders, ResponseMetadata};
@@ -64,8 +66,12 @@
     recipient: Recipient<'a>,
     /// Identifier of the event after which a stream is resumed.
     last_event_id: Option<&'a str>,
-    /// Whether any byte of the request may have been written to the connection.
-    was_sent: bool,
+    /// Time by which the recipient's deadline is shorter than the request's.
+    reply_margin: Duration,
+    /// Time after the deadline for which the recipient's word is awaited.
+    reply_wait: Duration,
+    /// Whether any byte of the request was written.
+    record: SendRecord,
 }
 
 impl<'a> Attempt<'a> {
@@ -74,11 +80,28 @@
         prepared: &'a PreparedRequest,
         recipient: Recipient<'a>,
         last_event_id: Option<&'a str>,
+        reply_wait: Duration,
     ) -> Self {
-        Self { shared, prepared, recipient, last_event_id, was_sent: false }
+        let reply_margin = shared.fleet().connect_times.reply_margin();
+        Self {
+            shared,
+            prepared,
+            recipient,
+            last_event_id,
+            reply_margin,
+            reply_wait,
+            record: SendRecord::default(),
+        }
+    }
+
+    /// Returns the record of whether any byte of the request was written.
+    pub(super) fn record(&self) -> SendRecord {
+        self.record.clone()
     }
 
-    /// Sends the request and waits for the head of the answer until the request's deadline.
+    /// Sends the request and waits for the head of the answer until the request's deadline, and a
+    /// little longer if any of the request was written: the recipient may just be saying that it has
+    /// not run it.
     ///
     /// `size_bytes` is the length to send as `content-length` if the body doesn't state it itself.
     pub(super) async fn run(
@@ -87,12 +110,18 @@
         size_bytes: Option<u64>,
     ) -> Result<Answer, Failure> {
         let remaining = self.prepared.deadline.remaining(self.shared.now());
-        let answer = tokio::time::timeout(remaining, self.exchange(body, size_bytes)).await;
-        match answer {
-            Ok(answer) => answer,
-            Err(_) if self.was_sent => Err(Failure::Broken),
-            Err(_) => Err(Failure::Unreachable),
+        let record = self.record.clone();
+        let reply_wait = self.reply_wait;
+        let mut exchange = std::pin::pin!(self.exchange(body, size_bytes));
+        if let Ok(answer) = tokio::time::timeout(remaining, exchange.as_mut()).await {
+            return answer;
         }
+        if record.close() {
+            return Err(Failure::Unreachable);
+        }
+        // Counted from now, and not from the deadline: a process that was not scheduled meanwhile has
+        // yet to read what has arrived.
+        tokio::time::timeout(reply_wait, exchange).await.unwrap_or(Err(Failure::Broken))
     }
 
     /// Sends the request on an idle connection. If there is none, or it was closed before any byte
@@ -119,6 +148,8 @@
         }
         let connection =
             self.open_connection(&incarnation).await.map_err(|_| Failure::Unreachable)?;
+        // Opening the connection has taken some of the time that the headers state.
+        headers::set_remaining(request.headers_mut(), self.remaining_upstream());
         match self.send(connection, request).await {
             Ok(answer) => answer,
             Err(_unsent) => Err(Failure::NotSent),
@@ -149,13 +180,15 @@
         if connection.sender.ready().await.is_err() {
             return Err(Box::new(request));
         }
-        self.was_sent = true;
+        self.record.set_connection(connection.gate.clone());
         let answer = match connection.sender.try_send_request(request).await {
             Ok(answer) => answer,
             Err(mut error) => {
-                let Some(unsent) = error.take_message() else { return Ok(Err(Failure::Broken)) };
-                self.was_sent = false;
-                return Err(Box::new(unsent));
+                return match error.take_message() {
+                    Some(unsent) => Err(Box::new(unsent)),
+                    None if self.record.close() => Ok(Err(Failure::NotSent)),
+                    None => Ok(Err(Failure::Broken)),
+                };
             }
         };
         let (head, body) = answer.into_parts();
@@ -192,9 +225,14 @@
         request
     }
 
+    /// Returns the time left to state to the recipient.
+    fn remaining_upstream(&self) -> Duration {
+        self.prepared.deadline.remaining_upstream(self.shared.now(), self.reply_margin)
+    }
+
     fn router_request_headers(&self, max_runs: u32) -> HeaderMap {
         let prepared = self.prepared;
-        let remaining = prepared.deadline.remaining(self.shared.now());
+        let remaining = self.remaining_upstream();
         let mut headers =
             headers::router_request_headers(&prepared.headers, remaining, self.last_event_id);
         headers.insert(MAX_RUNS, HeaderValue::from(max_runs));
@@ -209,7 +247,7 @@
         let prepared = self.prepared;
         let added = AddedHeaders {
             upstream_id: &upstream.id,
-            remaining: prepared.deadline.remaining(self.shared.now()),
+            remaining: self.remaining_upstream(),
             workspace: prepared.workspace.as_ref().map(|workspace| &*workspace.name),
             priority: prepared.route.has_prompts.then(|| prepared.engine_priority(self.shared)),
             holder,
--- a/teaselworks/src/relay/dispatch.rs
+++ b/teaselworks/src/relay/dispatch.rs
@@ -15,6 +15,9 @@
 
 /// Maximum number of routers that are asked to forward one request.
 const MAX_DETOURS: usize = 8;
+/// Shortest time between two checks for silence, so that a route without a target latency, whose
+/// silence timeout is zero, does not check without pause.
+const MIN_SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
 /// The result of one attempt, at a replica or through another router.
 pub(super) struct Dispatched {
@@ -31,6 +34,11 @@
         resumed_after: Option<&str>,
     ) -> Result<Dispatched, Refusal> {
         let now = self.shared.now();
+        // A request that is sent without any time left may be read by a replica that then has no
+        // time to reject it.
+        if self.prepared.deadline.remaining(now).is_zero() {
+            return Err(self.unsent(RefusalReason::Deadline));
+        }
         if !self.shared.fleet().needs_detour(now, &self.prepared.service) {
             let dispatched = self.send_to_replica(resumed_after).await?;
             if !self.has_failed_for_link(&dispatched) {
@@ -39,7 +47,7 @@
         }
         match self.origin {
             Origin::Caller => self.send_through_router(resumed_after).await,
-            Origin::Router { .. } => Err(self.unreachable()),
+            Origin::Router { .. } => Err(self.unsent(RefusalReason::Unreachable)),
         }
     }
 
@@ -59,17 +67,26 @@
             self.body.for_attempt().ok_or(Refusal::may_have_run(RefusalReason::UpstreamFailed))?;
         let recipient =
             Recipient::Replica { upstream: &placement.upstream, holder: placement.holder };
-        let mut attempt = Attempt::new(&self.shared, &self.prepared, recipient, resumed_after);
+        // A stream that is resumed has begun: its caller gets no status any more.
+        let reply_wait = if resumed_after.is_some() { Duration::ZERO } else { self.reply_wait() };
+        let mut attempt =
+            Attempt::new(&self.shared, &self.prepared, recipient, resumed_after, reply_wait);
         if resumed_after.is_some() {
             let answer = attempt.run(body, size_bytes).await;
             return Ok(Dispatched { answer, in_flight });
         }
-        let silence_timeout = self.prepared.route.silence_timeout();
+        let silence_timeout = self.prepared.route.silence_timeout().max(MIN_SILENCE_CHECK_INTERVAL);
+        let record = attempt.record();
         let mut answer = std::pin::pin!(attempt.run(body, size_bytes));
-        let answer = match tokio::time::timeout(silence_timeout, answer.as_mut()).await {
-            Ok(answer) => answer,
-            Err(_) if self.try_take_silence_retry() => Err(Failure::Silent),
-            Err(_) => answer.await,
+        let answer = loop {
+            match tokio::time::timeout(silence_timeout, answer.as_mut()).await {
+                Ok(answer) => break answer,
+                // A replica that got nothing is not silent, and opening a connection has a timeout of
+                // its own.
+                Err(_) if !record.is_written() => {}
+                Err(_) if self.try_take_silence_retry() => break Err(Failure::Silent),
+                Err(_) => break answer.await,
+            }
         };
         Ok(Dispatched { answer, in_flight })
     }
@@ -83,7 +100,7 @@
             let now = self.shared.now();
             let remaining = self.prepared.deadline.remaining(now);
             if remaining.is_zero() {
-                return Err(Refusal::not_run(RefusalReason::Deadline, None));
+                return Err(self.unsent(RefusalReason::Deadline));
             }
             let router = self.shared.fleet().choose_detour(now, &self.prepared.service);
             let (Some(router), Some((body, size_bytes))) = (router, self.body.for_attempt()) else {
@@ -91,7 +108,9 @@
             };
             self.log_detour(router, remaining);
             let recipient = Recipient::Router { address: router, max_runs: self.remaining_runs() };
-            let mut attempt = Attempt::new(&self.shared, &self.prepared, recipient, resumed_after);
+            let reply_wait = self.reply_wait();
+            let mut attempt =
+                Attempt::new(&self.shared, &self.prepared, recipient, resumed_after, reply_wait);
             let answer = attempt.run(body, size_bytes).await;
             let is_unavailable = answer
                 .as_ref()
@@ -109,16 +128,16 @@
             );
             return Ok(Dispatched { answer, in_flight });
         }
-        Err(self.unreachable())
+        Err(self.unsent(RefusalReason::Unreachable))
     }
 
-    /// Returns the refusal of a request whose service cannot be reached from here.
-    fn unreachable(&self) -> Refusal {
+    /// Returns the refusal of a request that is not sent to anything, or not again.
+    fn unsent(&self, reason: RefusalReason) -> Refusal {
         let now = self.shared.now();
         let max_retry_after = self.prepared.deadline.max_retry_after(now);
         let service = &self.prepared.service;
         let retry_after = self.shared.fleet().schedule_retry_after(now, service, max_retry_after);
-        Refusal::not_run(RefusalReason::Unreachable, Some(retry_after))
+        Refusal::not_run(reason, Some(retry_after))
     }
 
     fn log_detour(&self, router: SocketAddr, remaining: Duration) {
