--- a/teaselworks_policy/src/fleet/shares.rs
+++ b/teaselworks_policy/src/fleet/shares.rs
@@ -7,20 +7,7 @@
 use super::{CallerRequest, Fleet};
 use crate::configuration::Configuration;
 use crate::placement::PlacementRequest;
-use crate::shares::{Admission, OfferedRow, OverloadChange, ServiceStatus, Totals, WorkspaceKey};
-
-/// Offered load of one service at this router, for other routers.
-#[derive(Clone, Debug, PartialEq)]
-pub struct OwnLoad {
-    /// Name of the service.
-    pub service: Arc<str>,
-    /// Offered load by workspace and rank.
-    pub rows: Vec<OfferedRow>,
-    /// Requests of this router in progress.
-    pub in_progress: u32,
-    /// Whether this router takes the service to be overloaded.
-    pub is_overloaded: bool,
-}
+use crate::shares::{Admission, OverloadChange, ReportedLoad, ServiceStatus, Totals, WorkspaceKey};
 
 impl Fleet {
     /// Drops the shares of services and workspaces that a new configuration does not have.
@@ -61,17 +48,16 @@
         self.shares.admit(now, service, class, request.is_late, capacity_slots, routers)
     }
 
-    /// Returns the offered load of each service at this router.
-    pub fn own_loads(&self, now: Duration) -> Vec<OwnLoad> {
+    /// Returns the load of each service at this router, for other routers.
+    pub fn own_loads(&self, now: Duration) -> Vec<(Arc<str>, ReportedLoad)> {
         let mut loads = Vec::new();
         for (service, pool) in &self.pools {
-            let is_overloaded = self.shares.is_overloaded(service);
-            loads.push(OwnLoad {
-                service: service.clone(),
+            let load = ReportedLoad {
                 rows: self.shares.own_rows(now, service),
-                in_progress: pool.own_requests(),
-                is_overloaded,
-            });
+                in_progress: f64::from(pool.own_requests()),
+                is_overloaded: self.shares.is_loaded(now, service),
+            };
+            loads.push((service.clone(), load));
         }
         loads
     }
--- a/teaselworks_policy/src/shares/mod.rs
+++ b/teaselworks_policy/src/shares/mod.rs
@@ -7,9 +7,11 @@
 
 mod admission;
 mod class;
+mod exchange;
 mod gate;
 mod offered;
 mod offered_row;
+mod pace;
 mod plan;
 mod rank_order;
 mod service;
@@ -22,6 +24,7 @@
 
 pub use self::admission::Admission;
 pub use self::class::{Class, WorkspaceKey};
+pub use self::exchange::{Exchange, ExchangeKind, ExchangeMessage, ReportedLoad, service_key};
 pub use self::offered_row::{OfferedRow, RankLoad, Totals};
 pub use self::plan::{ClassPlan, Plan, RankPlan, WorkspacePlan, is_overloaded, plan};
 pub use self::rank_order::{max_min, rank_amounts};
@@ -184,7 +187,7 @@
     /// let age = Duration::from_millis(300);
     /// shares.set_totals(now, &service, Totals { rows: vec![], in_progress: 7.0, routers: 64, age });
     /// assert_eq!(shares.in_progress(now, "chat"), Some(7.0));
-    /// assert_eq!(shares.in_progress(now + Duration::from_secs(1), "chat"), None);
+    /// assert_eq!(shares.in_progress(now + Duration::from_secs(2), "chat"), None);
     /// ```
     pub fn in_progress(&self, now: Duration, service: &str) -> Option<f64> {
         Some(self.services.get(service)?.recent_totals(now)?.in_progress)
@@ -212,6 +215,12 @@
         self.services.get(service).is_some_and(ServiceShares::is_overloaded)
     }
 
+    /// Returns whether the offered load of a service, as far as this router knows it, exceeds half of
+    /// the capacity by the latest plan, so that an overload may follow.
+    pub fn is_loaded(&self, now: Duration, service: &str) -> bool {
+        self.services.get(service).is_some_and(|state| state.is_loaded(now))
+    }
+
     /// Returns the state of a service for operators; `None` if no request to it was recorded.
     ///
     /// ```
--- a/teaselworks_policy/src/shares/service.rs
+++ b/teaselworks_policy/src/shares/service.rs
@@ -5,6 +5,7 @@
 
 use super::gate::{Gate, GateKey};
 use super::offered::{AdmittedLoad, OfferedLoad, Reader};
+use super::pace::Pace;
 use super::plan::{ClassPlan, Plan, is_overloaded, plan};
 use super::{Admission, OfferedRow, OverloadChange, ServiceStatus, Totals, WorkspaceKey, status};
 use crate::verdict::RefusalReason;
@@ -12,8 +13,12 @@
 /// Time between plans: totals change every 250 ms, and a router that plans alone needs to follow a
 /// burst within a fraction of a second.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
-/// Age up to which totals are used. Unused shares have to be returned within a second.
-const MAX_TOTALS_AGE: Duration = Duration::from_secs(1);
+/// Age of their oldest part up to which totals are used. Most parts are younger by a second; with a
+/// shorter limit one lost datagram made the totals of hundreds of routers unusable.
+const MAX_TOTALS_AGE: Duration = Duration::from_millis(1_750);
+/// Offered load, as a part of the capacity, beyond which routers report four times a second, so that
+/// their totals are recent when an overload begins.
+const LOADED_SHARE: f64 = 0.5;
 /// Time without requests after which the plan is made without one, so that the end of an overload
 /// is noticed.
 const IDLE: Duration = Duration::from_secs(1);
@@ -41,6 +46,7 @@
     /// Whether the caller of `take_overload_change` knows the service as overloaded.
     is_known_overloaded: bool,
     gate: Gate,
+    pace: Pace,
 }
 
 impl ServiceShares {
@@ -55,6 +61,7 @@
             plan: None,
             is_known_overloaded: false,
             gate: Gate::default(),
+            pace: Pace::default(),
         }
     }
 
@@ -67,6 +74,13 @@
         self.plan.is_some()
     }
 
+    /// Returns whether the offered load exceeds [`LOADED_SHARE`] of the capacity.
+    pub fn is_loaded(&self, now: Duration) -> bool {
+        let (slots, rows) = self.slots_and_rows(now);
+        let offered: f64 = rows.iter().map(OfferedRow::offered_slots).sum();
+        self.is_overloaded() || offered > LOADED_SHARE * slots
+    }
+
     /// Returns the totals if they are recent enough to be used.
     pub fn recent_totals(&self, now: Duration) -> Option<&Totals> {
         let (received_at, totals) = self.totals.as_ref()?;
@@ -83,12 +97,17 @@
         self.planned_at = Some(now);
         self.capacity = capacity;
         let was_overloaded = self.is_overloaded();
+        let in_progress = self.recent_totals(now).map(|totals| totals.in_progress);
+        if let Some(in_progress) = in_progress.filter(|_| was_overloaded) {
+            self.pace.observe(now, self.slots_and_rows(now).0, in_progress);
+        }
         self.plan = self.new_plan(now);
         if let Some(plan) = &self.plan {
             self.offered.set_averaged_parts(now, |workspace| plan.averaged_part(workspace));
         } else if was_overloaded {
             self.offered.set_averaged_parts(now, |_| 1.0);
             self.gate.clear();
+            self.pace.reset();
         }
     }
 
@@ -107,7 +126,7 @@
         let offered: f64 = rows.iter().map(OfferedRow::offered_slots).sum();
         let is_divided = slots > 0.0 && has_classes(&rows);
         let is_planned = is_divided && is_overloaded(offered, slots, self.is_overloaded());
-        is_planned.then(|| plan(slots, &rows))
+        is_planned.then(|| plan(slots * self.pace.scale(), &rows))
     }
 
     /// Returns the slots to divide and the load that is offered for them.
@@ -134,6 +153,7 @@
         is_returning: bool,
     ) {
         self.latest_slot_time = slot_time;
+        self.pace.on_request(now, slot_time);
         self.offered.add(now, workspace, rank, slot_time, is_returning);
     }
 
