--- a/teaselworks/src/daemon/reload.rs
+++ b/teaselworks/src/daemon/reload.rs
@@ -40,8 +40,9 @@
 /// Reloads the settings on each SIGHUP and on each change of the file's modification time, until
 /// the process ends.
 ///
-/// The load factor, the retry bounds and the seeds take effect at once. All other settings, such as
-/// the listen addresses, take effect when the router restarts.
+/// The load factor, the retry bounds, the admission and the seeds take effect at once. All other
+/// settings, such as the listen addresses, take effect when the router restarts. The exchange of
+/// offered load begins at a start only; without it a router divides its own part of the slots.
 pub(super) async fn run(
     path: PathBuf,
     mut in_force: Settings,
--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -25,7 +25,7 @@
     FINISHING = 3 Info "finishing" "Idle connections are closed; the router exits when no request is in progress.";
     ROUTER_STOPPED = 4 Info "router_stopped" "The router stopped after a planned stop; requests still in progress at the end of the grace period were cut.";
     START_FAILED = 6 Error "start_failed" "The router could not start; the field `cause` names the error.";
-    SETTINGS_RELOADED = 7 Info "settings_reloaded" "The settings were read again on SIGHUP or after a change of the file. The load factor, the retry bounds and the seeds are in force; other settings take effect when the router restarts.";
+    SETTINGS_RELOADED = 7 Info "settings_reloaded" "The settings were read again on SIGHUP or after a change of the file. The load factor, the retry bounds, the admission and the seeds are in force; other settings take effect when the router restarts.";
     SETTINGS_REFUSED = 8 Error "settings_refused" "The settings were read again and are invalid; the previous settings stay in force.";
     READINESS_CHANGED = 9 Info "readiness_changed" "The router became ready, or is no longer ready.";
     ACCEPT_FAILED = 10 Warn "accept_failed" "A connection could not be accepted; check the limit on file descriptors.";
@@ -81,7 +81,7 @@
     UPSTREAM_LEAVING = 911 Info "upstream_leaving" "An upstream said with an answer that it is leaving and gets no new requests, whatever its entry says.";
     SERVICE_BRITTLE = 912 Warn "service_brittle" "The replicas of a service say that one which rejects more requests than this within a second falls over; for as long as they say so, requests do not wait there, and a replica that rejects one gets none for a while.";
     UPSTREAM_COLD = 913 Info "upstream_cold" "An upstream said with an answer that it is cold, which was not known before; the field gives the time that remains.";
-    SERVICE_OVERLOADED = 914 Warn "service_overloaded" "The load offered to a service exceeds 0.9 of its slots, which are divided between ranks and workspaces from now on. The fields give the load and the slots: of the routers in the totals, or, without totals of the last second (totals_age_ms, -1: none), of this router and its part of the slots. The field admitted gives the admitted fraction by rank.";
+    SERVICE_OVERLOADED = 914 Warn "service_overloaded" "The load offered to a service exceeds 0.9 of its slots, which are divided between ranks and workspaces from now on. The fields give the load and the slots: of the routers in the totals, or, where these are missing or too old (totals_age_ms, -1: none), of this router and its part of the slots. The field admitted gives the admitted fraction by rank.";
     SERVICE_RECOVERED = 915 Info "service_recovered" "The load offered to a service has fallen below 0.8 of its slots, or the service is no longer divided. The fields are those of service_overloaded, the time for which it was overloaded at this router (lasted_ms), and the lowest admitted fraction by rank, as seen twice a second meanwhile (lowest_admitted).";
     PART_SUSPECTED = 920 Info "part_suspected" "Two replicas, one after the other, broke off requests whose prompts share a part: all routers are asked whether an answer was written on it since the first crash.";
     PART_PROVEN = 921 Info "part_proven" "An answer was written on a part of prompts that is suspected of crashing replicas; the routers that hold reports of it are told.";
