--- a/teaselworks/src/daemon/services.rs
+++ b/teaselworks/src/daemon/services.rs
@@ -66,6 +66,7 @@
         shares: SharesSettings {
             by_priority: admission.by_priority,
             workspace_shares: admission.workspace_shares,
+            min_routers: admission.min_routers,
         },
         max_staleness: bounds.max_staleness(),
     }
--- a/teaselworks/src/settings/mod.rs
+++ b/teaselworks/src/settings/mod.rs
@@ -177,6 +177,9 @@
     pub by_priority: bool,
     /// Whether each workspace is held to its share.
     pub workspace_shares: bool,
+    /// Number of routers from which services are divided. The routers of a small fleet see each
+    /// replica's load in their own answers, and refuse fewer requests by that alone.
+    pub min_routers: u32,
 }
 
 /// Format and minimum severity of the log.
--- a/teaselworks_policy/src/fleet/engine_priority.rs
+++ b/teaselworks_policy/src/fleet/engine_priority.rs
@@ -14,7 +14,7 @@
     /// Engines order by one number. The position of the request's rank among those of the
     /// configuration keeps the order of routes whose workspaces have the same priority.
     pub fn engine_priority(&self, class: &Class) -> Option<u8> {
-        if !self.settings.shares.by_priority {
+        if !self.settings.shares.by_priority || !self.divides_services() {
             return None;
         }
         let position = self.ranks.partition_point(|rank| *rank < class.rank);
--- a/teaselworks_policy/src/fleet/shares.rs
+++ b/teaselworks_policy/src/fleet/shares.rs
@@ -41,16 +41,28 @@
         request: &PlacementRequest<'_>,
     ) -> Admission {
         let is_first = !request.has_started && request.tried.is_empty();
-        let Some(class) = request.class.filter(|_| is_first) else { return Admission::Normal };
+        let class = request.class.filter(|_| is_first && self.divides_services());
+        let Some(class) = class else { return Admission::Normal };
         let Some(pool) = self.pools.get_mut(service) else { return Admission::Normal };
         let capacity_slots = pool.capacity_slots(now);
         let routers = self.membership.live_count();
         self.shares.admit(now, service, class, request.is_late, capacity_slots, routers)
     }
 
-    /// Returns the load of each service at this router, for other routers.
+    /// Returns whether overloaded services are divided: in a fleet of at least as many routers as the
+    /// settings say.
+    pub(super) fn divides_services(&self) -> bool {
+        let settings = &self.settings.shares;
+        settings.is_enabled() && self.membership.live_count() >= settings.min_routers
+    }
+
+    /// Returns the load of each service at this router, for other routers. There is none while
+    /// services are not divided.
     pub fn own_loads(&self, now: Duration) -> Vec<(Arc<str>, ReportedLoad)> {
         let mut loads = Vec::new();
+        if !self.divides_services() {
+            return loads;
+        }
         for (service, pool) in &self.pools {
             let load = ReportedLoad {
                 rows: self.shares.own_rows(now, service),
--- a/teaselworks_policy/src/shares/mod.rs
+++ b/teaselworks_policy/src/shares/mod.rs
@@ -51,7 +51,7 @@
     /// let now = Duration::from_secs(1);
     /// let class = Class { rank: 0, workspace: None };
     /// let demand = Demand { slot_time: Duration::from_secs(1) };
-    /// let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true, min_routers: 0 });
     /// shares.on_request(now, &"chat".into(), &class, demand, false);
     /// let admission = shares.admit(now, "chat", &class, false, 100.0, 1);
     /// assert_eq!(admission, Admission::Normal);
@@ -75,7 +75,7 @@
     /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
     /// # let now = Duration::from_secs(1);
     /// # let service = "chat".into();
-    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true, min_routers: 0 });
     /// let class = Class { rank: 2, workspace: Some("search".into()) };
     /// let demand = Demand { slot_time: Duration::from_millis(600) };
     /// shares.on_request(now, &service, &class, demand, true);
@@ -108,7 +108,7 @@
     /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
     /// # let now = Duration::from_secs(1);
     /// # let service = "chat".into();
-    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true, min_routers: 0 });
     /// let demand = Demand { slot_time: Duration::from_secs(30) };
     /// for rank in [0, 1] {
     ///     let class = Class { rank, workspace: None };
@@ -143,7 +143,7 @@
     /// use teaselworks_policy::shares::{Class, Shares, SharesSettings};
     ///
     /// let class = Class { rank: 0, workspace: Some("search".into()) };
-    /// let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true, min_routers: 0 });
     /// let demand = Demand { slot_time: Duration::from_millis(300) };
     /// shares.on_request(Duration::ZERO, &"chat".into(), &class, demand, false);
     /// assert_eq!(shares.own_rows(Duration::ZERO, "chat")[0].offered_slots(), 1.0);
@@ -161,7 +161,7 @@
     /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
     /// # let now = Duration::from_secs(1);
     /// # let service = "chat".into();
-    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true, min_routers: 0 });
     /// let age = Duration::from_millis(300);
     /// shares.set_totals(now, &service, Totals { rows: vec![], in_progress: 7.0, routers: 64, age });
     /// assert_eq!(shares.status(now, "chat").unwrap().totals_age, Some(age));
@@ -183,7 +183,7 @@
     /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
     /// # let now = Duration::from_secs(1);
     /// # let service = "chat".into();
-    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true, min_routers: 0 });
     /// let age = Duration::from_millis(300);
     /// shares.set_totals(now, &service, Totals { rows: vec![], in_progress: 7.0, routers: 64, age });
     /// assert_eq!(shares.in_progress(now, "chat"), Some(7.0));
@@ -201,7 +201,7 @@
     /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
     /// # let now = Duration::from_secs(1);
     /// # let service = "chat".into();
-    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true, min_routers: 0 });
     /// let demand = Demand { slot_time: Duration::from_secs(30) };
     /// for rank in [0, 1] {
     ///     let class = Class { rank, workspace: None };
@@ -229,7 +229,7 @@
     /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
     /// # let now = Duration::from_secs(1);
     /// # let service = "chat".into();
-    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true, min_routers: 0 });
     /// let demand = Demand { slot_time: Duration::from_secs(30) };
     /// for rank in [0, 1] {
     ///     let class = Class { rank, workspace: None };
@@ -254,7 +254,7 @@
     /// # use teaselworks_policy::shares::{Admission, Class, Shares, SharesSettings, Totals};
     /// # let now = Duration::from_secs(1);
     /// # let service = "chat".into();
-    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true });
+    /// # let mut shares = Shares::new(SharesSettings { by_priority: true, workspace_shares: true, min_routers: 0 });
     /// let demand = Demand { slot_time: Duration::from_secs(30) };
     /// for rank in [0, 1] {
     ///     let class = Class { rank, workspace: None };
--- a/teaselworks_policy/src/shares/settings.rs
+++ b/teaselworks_policy/src/shares/settings.rs
@@ -9,6 +9,8 @@
     pub by_priority: bool,
     /// Each workspace gets its share; otherwise all workspaces count as one.
     pub workspace_shares: bool,
+    /// Number of routers from which services are divided.
+    pub min_routers: u32,
 }
 
 impl SharesSettings {
--- a/teaselworks_policy/src/upstream/pool/capacity.rs
+++ b/teaselworks_policy/src/upstream/pool/capacity.rs
@@ -2,10 +2,15 @@
 
 use std::time::Duration;
 
-use super::{MIN_REQUESTS_PER_SLOT_WITHOUT_REPORTS, Pool};
+use super::Pool;
 use crate::upstream::brittle_requests_per_slot;
-use crate::upstream::slot_share::REQUESTS_PER_SLOT;
 
+/// Requests per slot that the division of an overloaded service admits. It is a fifth above what
+/// routers have in progress by their own limits, which refuse the rest as loads change: with the
+/// division alone to refuse, some slots stay unused.
+const PLANNED_REQUESTS_PER_SLOT: f64 = 1.2;
+/// The same for a service whose replicas do not report their load.
+const PLANNED_REQUESTS_PER_SLOT_WITHOUT_REPORTS: f64 = 2.5;
 /// Time for which a computed capacity is used: replicas come and go in seconds.
 const CAPACITY_LIFETIME: Duration = Duration::from_millis(100);
 /// Age up to which the requests in progress that other routers state are used: totals of a calm
@@ -46,9 +51,9 @@
         let requests_per_slot = if self.is_brittle(now) {
             brittle_requests_per_slot(self.members.iter().any(|m| m.load.has_shared_report()))
         } else if self.has_load_reports {
-            REQUESTS_PER_SLOT
+            PLANNED_REQUESTS_PER_SLOT
         } else {
-            MIN_REQUESTS_PER_SLOT_WITHOUT_REPORTS
+            PLANNED_REQUESTS_PER_SLOT_WITHOUT_REPORTS
         };
         let slots = f64::from(slots) * requests_per_slot;
         self.capacity = Some(Capacity { slots, computed_at: now });
