--- a/teaselworks_policy/tests/narrow_placement.rs
+++ b/teaselworks_policy/tests/narrow_placement.rs
@@ -9,6 +9,7 @@
 use teaselworks_policy::placement::{
     PlacementRequest, PlacementSettings, Prompt, PromptPart, place,
 };
+use teaselworks_policy::shares::Admission;
 use teaselworks_policy::upstream::{EvacuatedZones, LoadReport, Pool, Upstream};
 
 const REPORTED_AT: Duration = Duration::from_secs(5);
@@ -39,7 +40,7 @@
 /// reports.
 fn placed_by_replica(pool: &Pool, age: Duration) -> BTreeMap<String, u32> {
     let parts = [1, 10, 11].map(|id| PromptPart { id, tokens: 100 }).to_vec();
-    let prompt = Prompt { parts, input_tokens: 300, output_tokens: 50 };
+    let prompt = Prompt { parts, input_tokens: 300, output_tokens: 50, output_hint: None };
     let request = PlacementRequest {
         prompt: Some(&prompt),
         zone: "a",
@@ -50,6 +51,8 @@
         max_retry_after: Duration::from_secs(1),
         has_started: false,
         is_late: false,
+        class: None,
+        admission: Admission::Normal,
     };
     let settings = PlacementSettings { load_factor: 2.0, routers: 7 };
     let mut random = Pcg32::seed_from_u64(7);
