--- a/teaselworks/src/datagram/message.rs
+++ b/teaselworks/src/datagram/message.rs
@@ -93,7 +93,7 @@
 /// since its replica broke off in milliseconds, and whether answers were lately written on the part.
 pub type CrashRow = (u64, u64, u32, u32, bool);
 
-/// PackedOrigin of a stream: the service, and the version of its replica's software.
+/// Origin of a stream: the service, and the version of its replica's software.
 pub type PackedOrigin = (Arc<str>, Arc<str>);
 
 /// Returns the origin as a message carries it.
--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -68,7 +68,7 @@
     last_event_id: Option<&'a str>,
     /// Time by which the recipient's deadline is shorter than the request's.
     reply_margin: Duration,
-    /// Time after the deadline for which the recipient's word is awaited.
+    /// Time after the deadline for which the recipient's answer is awaited.
     reply_wait: Duration,
     /// Whether any byte of the request was written.
     record: SendRecord,
@@ -100,7 +100,7 @@
     }
 
     /// Sends the request and waits for the head of the answer until the request's deadline, and a
-    /// little longer if any of the request was written: the recipient may just be saying that it has
+    /// little longer if any of the request was written: the recipient may just be answering that it has
     /// not run it.
     ///
     /// `size_bytes` is the length to send as `content-length` if the body doesn't state it itself.
--- a/teaselworks/src/relay/dispatch.rs
+++ b/teaselworks/src/relay/dispatch.rs
@@ -15,6 +15,9 @@
 
 /// Maximum number of routers that are asked to forward one request.
 const MAX_DETOURS: usize = 8;
+/// Number of checks for silence within the silence timeout. The timeout counts from the first check
+/// after the request was written, so that a replica may be silent for up to an eighth longer.
+const SILENCE_CHECKS: u32 = 8;
 /// Shortest time between two checks for silence, so that a route without a target latency, whose
 /// silence timeout is zero, does not check without pause.
 const MIN_SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(1);
@@ -46,7 +49,10 @@
             }
         }
         match self.origin {
-            Origin::Caller => self.send_through_router(resumed_after).await,
+            Origin::Caller => {
+                self.admit_detour(resumed_after)?;
+                self.send_through_router(resumed_after).await
+            }
             Origin::Router { .. } => Err(self.unsent(RefusalReason::Unreachable)),
         }
     }
@@ -75,15 +81,19 @@
             let answer = attempt.run(body, size_bytes).await;
             return Ok(Dispatched { answer, in_flight });
         }
-        let silence_timeout = self.prepared.route.silence_timeout().max(MIN_SILENCE_CHECK_INTERVAL);
+        let check_interval = (self.prepared.route.silence_timeout() / SILENCE_CHECKS)
+            .max(MIN_SILENCE_CHECK_INTERVAL);
+        let mut silent_checks = 0;
         let record = attempt.record();
         let mut answer = std::pin::pin!(attempt.run(body, size_bytes));
         let answer = loop {
-            match tokio::time::timeout(silence_timeout, answer.as_mut()).await {
+            match tokio::time::timeout(check_interval, answer.as_mut()).await {
                 Ok(answer) => break answer,
                 // A replica that got nothing is not silent, and opening a connection has a timeout of
                 // its own.
                 Err(_) if !record.is_written() => {}
+                // The request may have been written just before the first check that shows it.
+                Err(_) if silent_checks < SILENCE_CHECKS => silent_checks += 1,
                 Err(_) if self.try_take_silence_retry() => break Err(Failure::Silent),
                 Err(_) => break answer.await,
             }
@@ -108,7 +118,8 @@
             };
             self.log_detour(router, remaining);
             let recipient = Recipient::Router { address: router, max_runs: self.remaining_runs() };
-            let reply_wait = self.reply_wait();
+            let reply_wait =
+                if resumed_after.is_some() { Duration::ZERO } else { self.reply_wait() };
             let mut attempt =
                 Attempt::new(&self.shared, &self.prepared, recipient, resumed_after, reply_wait);
             let answer = attempt.run(body, size_bytes).await;
--- a/teaselworks/src/relay/request_state.rs
+++ b/teaselworks/src/relay/request_state.rs
@@ -97,7 +97,7 @@
         self.stream_origin = Some(Arc::new(origin));
     }
 
-    /// Returns the time after the deadline for which the word of an upstream is awaited.
+    /// Returns the time after the deadline for which the answer of an upstream is awaited.
     ///
     /// A router that forwards a request has left itself that time already: the deadline that it
     /// states is earlier than its own. A stopping router admits requests by their deadlines and exits
@@ -131,19 +131,7 @@
     pub(super) fn place(&mut self, resumed_after: Option<&str>) -> Result<Placement, Refusal> {
         let now = self.shared.now();
         let deadline = &self.prepared.deadline;
-        let request = PlacementRequest {
-            prompt: self.prepared.prompt(),
-            zone: &self.shared.zone,
-            tried: &self.tried,
-            version: self.stream_origin.as_ref().map(|origin| &*origin.version),
-            begins_stream: self.prepared.route.is_resumable,
-            remaining: deadline.remaining(now),
-            max_retry_after: deadline.max_retry_after(now),
-            is_late: self.prepared.is_late,
-            class: Some(&self.prepared.class),
-            admission: Admission::Normal,
-            has_started: self.stream_origin.is_some() || resumed_after.is_some() || self.runs > 0,
-        };
+        let request = self.placement_request(resumed_after);
         let mut placement = self.shared.fleet().place(now, &self.prepared.service, &request)?;
         if placement.is_home_cold {
             self.shared.metrics.add_cold_home();
@@ -178,6 +166,35 @@
         Ok(placement)
     }
 
+    /// Returns what placement needs to know of the request.
+    fn placement_request(&self, resumed_after: Option<&str>) -> PlacementRequest<'_> {
+        let now = self.shared.now();
+        let deadline = &self.prepared.deadline;
+        // The router that the caller sent the request to has decided on its class.
+        let class = (self.origin == Origin::Caller).then_some(&self.prepared.class);
+        PlacementRequest {
+            prompt: self.prepared.prompt(),
+            zone: &self.shared.zone,
+            tried: &self.tried,
+            version: self.stream_origin.as_ref().map(|origin| &*origin.version),
+            begins_stream: self.prepared.route.is_resumable,
+            remaining: deadline.remaining(now),
+            max_retry_after: deadline.max_retry_after(now),
+            is_late: self.prepared.is_late,
+            class,
+            admission: Admission::Normal,
+            has_started: self.stream_origin.is_some() || resumed_after.is_some() || self.runs > 0,
+        }
+    }
+
+    /// Decides whether the request may be handed to another router, which does not decide on its class
+    /// again.
+    pub(super) fn admit_detour(&self, resumed_after: Option<&str>) -> Result<(), Refusal> {
+        let now = self.shared.now();
+        let request = self.placement_request(resumed_after);
+        self.shared.fleet().admit_detour(now, &self.prepared.service, &request)
+    }
+
     /// Returns the identifier of the stream that the caller resumes, or an empty string.
     fn resumed_stream_id(&self) -> &str {
         self.prepared.metadata.resumed_stream.as_ref().map_or("", |stream| &*stream.id)
--- a/teaselworks/tests/true_answers.rs
+++ b/teaselworks/tests/true_answers.rs
@@ -318,7 +318,7 @@
     [(&[reject_at_deadline], 503), (&[answer_at_deadline], 200), (&[silent], 504)];
 
 /// Checks the status of a request of each kind that waits at a replica until its deadline. Other
-/// processes may delay a replica's word by more than the router waits, so some requests are tried again.
+/// processes may delay a replica's answer by more than the router waits, so some requests are tried again.
 async fn check_late_rows(fleet: &Fleet, rows: &[(&'static [Behaviour], u16)]) {
     for (row, (behaviours, status)) in rows.iter().copied().enumerate() {
         set_behaviours(fleet, behaviours);
--- a/teaselworks_policy/src/fleet/shares.rs
+++ b/teaselworks_policy/src/fleet/shares.rs
@@ -8,6 +8,7 @@
 use crate::configuration::Configuration;
 use crate::placement::PlacementRequest;
 use crate::shares::{Admission, OverloadChange, ReportedLoad, ServiceStatus, Totals, WorkspaceKey};
+use crate::verdict::Refusal;
 
 impl Fleet {
     /// Drops the shares of services and workspaces that a new configuration does not have.
@@ -49,6 +50,23 @@
         self.shares.admit(now, service, class, request.is_late, capacity_slots, routers)
     }
 
+    /// Decides whether a request that no replica got may be handed to another router, which does not
+    /// decide on it again.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a request for which the overloaded service has no room.
+    pub fn admit_detour(
+        &mut self,
+        now: Duration,
+        service: &str,
+        request: &PlacementRequest<'_>,
+    ) -> Result<(), Refusal> {
+        let Admission::Refused(reason) = self.admit(now, service, request) else { return Ok(()) };
+        let retry_after = self.schedule_retry_after(now, service, request.max_retry_after);
+        Err(Refusal::not_run(reason, Some(retry_after)))
+    }
+
     /// Returns whether overloaded services are divided: in a fleet of at least as many routers as the
     /// settings say.
     pub(super) fn divides_services(&self) -> bool {
@@ -77,13 +95,18 @@
     /// Records the offered load of a service over all routers.
     pub fn set_totals(&mut self, now: Duration, service: &Arc<str>, totals: Totals) {
         if let Some(pool) = self.pools.get_mut(service) {
-            pool.set_requests_in_progress(now, totals.in_progress, totals.age);
+            let routers = self.membership.live_count();
+            let Totals { in_progress, routers: counted, age, .. } = totals;
+            pool.set_requests_in_progress(now, in_progress, counted, routers, age);
         }
         self.shares.set_totals(now, service, totals);
     }
 
     /// Returns the services that have become overloaded, or no longer are, since the last call.
     pub fn take_overload_changes(&mut self, now: Duration) -> Vec<OverloadChange> {
+        if !self.divides_services() {
+            self.shares.forget_plans();
+        }
         self.shares.take_overload_changes(now)
     }
 
--- a/teaselworks_policy/src/shares/exchange/aggregator.rs
+++ b/teaselworks_policy/src/shares/exchange/aggregator.rs
@@ -14,6 +14,10 @@
 /// the size of a group. It adds to the age of the totals.
 const SUM_LIFETIME: Duration = Duration::from_millis(25);
 
+/// Longest age of a group's total: the lifetime of reports at the slow rate, and the interval between
+/// two totals.
+const MAX_GROUP_AGE: Duration = Duration::from_millis(3_500);
+
 /// Load of several routers.
 #[derive(Clone, Debug)]
 pub(super) struct Sum {
@@ -40,6 +44,10 @@
 
     /// Counts the total of another aggregator's group.
     pub(super) fn on_group(&mut self, from: SocketAddr, part: Part, topology: &Topology) {
+        // One part that is far too old would make the totals of all routers unusable.
+        if part.received_at.saturating_sub(part.as_of) > MAX_GROUP_AGE {
+            return;
+        }
         self.groups.accept(from, part, topology);
     }
 
--- a/teaselworks_policy/src/shares/exchange/router.rs
+++ b/teaselworks_policy/src/shares/exchange/router.rs
@@ -122,9 +122,15 @@
         if !self.services.contains_key(&key) && self.services.len() >= MAX_SERVICES {
             return Vec::new();
         }
+        if matches!(kind, ExchangeKind::Fleet { .. }) && !self.services.contains_key(&key) {
+            return Vec::new();
+        }
         let topology = &self.topology;
         let service = self.services.entry(key).or_default();
-        service.used_at = now;
+        // Other routers' answers do not keep a service alive that this one does not report.
+        if !matches!(kind, ExchangeKind::Fleet { .. }) {
+            service.used_at = now;
+        }
         let part = |is_frequent: bool, age: Duration, routers: u32, load: ReportedLoad| Part {
             process,
             sequence,
--- a/teaselworks_policy/src/shares/gate.rs
+++ b/teaselworks_policy/src/shares/gate.rs
@@ -1,6 +1,6 @@
 //! Admits a planned fraction of the requests of each class.
 //!
-//! The load that this answers: few requests of each class at each router. Requests are counted and
+//! Designed for: few requests of each class at each router. Requests are counted and
 //! not sized, so that large requests are refused no more often than small ones.
 
 use std::collections::HashMap;
--- a/teaselworks_policy/src/shares/mod.rs
+++ b/teaselworks_policy/src/shares/mod.rs
@@ -244,6 +244,11 @@
         self.services.get(service)?.status(now)
     }
 
+    /// Drops the plans, since services are not divided at the moment.
+    pub fn forget_plans(&mut self) {
+        self.services.values_mut().for_each(ServiceShares::forget_plan);
+    }
+
     /// Returns the services that have become overloaded or no longer are since the last call.
     ///
     /// A service that gets no more requests is no longer overloaded, which this call notices.
--- a/teaselworks_policy/src/shares/offered.rs
+++ b/teaselworks_policy/src/shares/offered.rs
@@ -1,6 +1,6 @@
 //! Offered load of one service at this router, by workspace and rank.
 //!
-//! The load that this answers: bursts that begin within a second, and a few requests of a class a
+//! Designed for: bursts that begin within a second, and a few requests of a class a
 //! second at each of hundreds of routers.
 
 use std::collections::HashMap;
--- a/teaselworks_policy/src/shares/pace.rs
+++ b/teaselworks_policy/src/shares/pace.rs
@@ -1,6 +1,6 @@
 //! Load that a service with short requests can be given, by the requests in progress there.
 //!
-//! The load that this answers: a burst at a service whose requests take tens of milliseconds. Their
+//! Designed for: a burst at a service whose requests take tens of milliseconds. Their
 //! estimated slot times contain the queues of a second ago, which would leave slots unused. Where
 //! requests are longer than the totals are old, requests in progress show too late what was admitted.
 
--- a/teaselworks_policy/src/shares/plan.rs
+++ b/teaselworks_policy/src/shares/plan.rs
@@ -1,6 +1,6 @@
 //! Divides the slots of an overloaded service between ranks and workspaces.
 //!
-//! The load that this answers: more requests than the service has slots for, of several ranks, and
+//! Designed for: more requests than the service has slots for, of several ranks, and
 //! workspaces that send many times what they usually send. The plan follows from the capacity and
 //! the offered load alone, so that routers with the same totals admit the same fractions.
 
@@ -191,6 +191,11 @@
         index.map_or(RETURNING_PER_NEW, |index| self.ranks[index].returning_per_new)
     }
 
+    /// Returns whether a workspace has a row of its own.
+    pub fn has_workspace(&self, workspace: WorkspaceKey) -> bool {
+        self.workspaces.binary_search_by_key(&workspace, |row| row.workspace).is_ok()
+    }
+
     /// Returns the part of the admitted load that the first `ranks` ranks have.
     fn ahead_share(&self, ranks: usize) -> f64 {
         let sum = |ranks: &[RankPlan]| ranks.iter().map(|rank| rank.admitted_slots).sum::<f64>();
--- a/teaselworks_policy/src/shares/service.rs
+++ b/teaselworks_policy/src/shares/service.rs
@@ -111,6 +111,14 @@
         }
     }
 
+    /// Drops the plan, since the service is not divided at the moment.
+    pub fn forget_plan(&mut self) {
+        self.plan = None;
+        self.planned_at = None;
+        self.gate.clear();
+        self.pace.reset();
+    }
+
     /// Makes a new plan if no request has caused one for some time.
     pub fn update_idle(&mut self, now: Duration) {
         let is_idle = |at: Duration| now.saturating_sub(at) >= IDLE;
@@ -126,7 +134,9 @@
         let offered: f64 = rows.iter().map(OfferedRow::offered_slots).sum();
         let is_divided = slots > 0.0 && has_classes(&rows);
         let is_planned = is_divided && is_overloaded(offered, slots, self.is_overloaded());
-        is_planned.then(|| plan(slots * self.pace.scale(), &rows))
+        // The scale follows from totals; without recent ones it may be outdated.
+        let scale = self.recent_totals(now).map_or(1.0, |_| self.pace.scale());
+        is_planned.then(|| plan(slots * scale, &rows))
     }
 
     /// Returns the slots to divide and the load that is offered for them.
@@ -181,9 +191,8 @@
             return Admission::Normal;
         };
         // A workspace that has no row of its own in the totals is counted in the shared one.
-        let planned = [workspace, WorkspaceKey::REST]
-            .into_iter()
-            .find_map(|workspace| Some((workspace, *plan.class(workspace, rank)?)));
+        let row = if plan.has_workspace(workspace) { workspace } else { WorkspaceKey::REST };
+        let planned = plan.class(row, rank).map(|class| (row, *class));
         let (workspace, class) =
             planned.unwrap_or_else(|| (WorkspaceKey::REST, plan.class_without_load(rank)));
         let capacity_slots = plan.capacity_slots;
@@ -198,10 +207,10 @@
             false
         } else {
             let key = GateKey { workspace, rank, is_returning };
-            if is_returning {
+            if is_returning && class.is_marginal {
                 self.gate.admits_returning(now, key, class.returning, returning_per_new)
             } else {
-                self.gate.admits(now, key, class.new)
+                self.gate.admits(now, key, if is_returning { class.returning } else { class.new })
             }
         };
         if !is_admitted {
--- a/teaselworks_policy/src/upstream/connecting.rs
+++ b/teaselworks_policy/src/upstream/connecting.rs
@@ -60,7 +60,7 @@
         self.consecutive_timeouts = self.consecutive_timeouts.saturating_add(1);
     }
 
-    /// Returns the time to allow for the word of an upstream to arrive, from when the upstream sends
+    /// Returns the time to allow for the answer of an upstream to arrive, from when the upstream sends
     /// it.
     ///
     /// ```
--- a/teaselworks_policy/src/upstream/pool/capacity.rs
+++ b/teaselworks_policy/src/upstream/pool/capacity.rs
@@ -65,9 +65,22 @@
         self.members.iter().map(|member| member.load.own_requests()).sum()
     }
 
-    /// Records how many requests all routers have in progress, as they stated `age` ago.
-    pub fn set_requests_in_progress(&mut self, now: Duration, requests: f64, age: Duration) {
-        let count = (requests - f64::from(self.own_requests())).max(0.0);
+    /// Records how many requests routers have in progress, as they stated `age` ago: `counted` of the
+    /// `routers` that this router knows of, itself included in both. The others are taken to have as
+    /// many each.
+    pub fn set_requests_in_progress(
+        &mut self,
+        now: Duration,
+        requests: f64,
+        counted: u32,
+        routers: u32,
+        age: Duration,
+    ) {
+        if counted < 2 {
+            return;
+        }
+        let peers = f64::from(routers.max(counted) - 1) / f64::from(counted - 1);
+        let count = (requests - f64::from(self.own_requests())).max(0.0) * peers;
         self.peer_requests = Some(PeerRequests { count, stated_at: now.saturating_sub(age) });
     }
 
