--- a/teaselworks/src/daemon/serve.rs
+++ b/teaselworks/src/daemon/serve.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use teaselworks_policy::fleet::Fleet;
 use tokio::net::TcpListener;
 
+use super::overload::{OverloadLog, shares_report};
 use super::page::{self, Page};
-use super::services::{CACHE, METRICS, SHARED, UPDATER, random_seed, register};
+use super::services::{CACHE, METRICS, SHARED, UPDATER, fleet_settings, random_seed, register};
 use super::{ReloadSignal, StartError, reload, stop};
 use crate::discovery::{BlockedPartWriter, PeerFallback, Registrar, StateUpdater, StoreWatcher};
 use crate::event;
@@ -20,8 +22,8 @@
 use crate::relay::{CallerPort, Shared};
 use crate::settings::Settings;
 
-/// Time between checks for expired state: idle connections to upstreams, and upstreams that have
-/// been missing for so long that they count as gone.
+/// Time between checks for expired state: idle connections to upstreams, upstreams that have been
+/// missing for so long that they count as gone, and overloads of services.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between checks for links to services that are to be probed.
 const LINK_PROBE_INTERVAL: Duration = Duration::from_millis(200);
@@ -121,11 +123,15 @@
     tokio::spawn(writer.run());
     let crash_shared = shared.clone();
     tokio::spawn(async move { crash_shared.exchange_crashes().await });
+    if fleet_settings(settings).shares.is_enabled() {
+        tokio::spawn(exchange_load(shared.clone()));
+    }
     tokio::spawn(sweep(shared.clone(), updater));
     tokio::spawn(probe_links(shared.clone()));
+    let page_shared = shared.clone();
     tokio::spawn(page::serve(ports.metrics, move || Page {
         status: StatusCode::OK,
-        text: metrics.to_text(),
+        text: metrics.to_text(&shares_report(&page_shared)),
     }));
     tokio::spawn(page::serve(ports.health, move || readiness(&shared)));
     tokio::spawn(port.run(ports.callers));
@@ -157,11 +163,20 @@
     shared.datagrams.receive(|message, sender| shared.on_message(message, sender)).await;
 }
 
-/// Removes expired state at regular intervals until the process ends.
+/// Exchanges the load that each service is offered with other routers until the process ends.
+async fn exchange_load(shared: Arc<Shared>) {
+    let process = random_seed();
+    shared.exchange_load(process, |fleet, now| fleet.own_loads(now), Fleet::set_totals).await;
+}
+
+/// Removes expired state, and logs overloads that have begun or ended, at regular intervals until
+/// the process ends.
 async fn sweep(shared: Arc<Shared>, updater: Arc<StateUpdater>) {
+    let mut overload_log = OverloadLog::default();
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         updater.expire();
         shared.connections.close_expired(shared.now());
+        overload_log.update(&shared);
     }
 }
--- a/teaselworks/src/metrics.rs
+++ b/teaselworks/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters, gauges and histograms of one router, exported as Prometheus text.
 
+mod admission;
+
 use std::fmt;
 use std::io::ErrorKind;
 use std::time::Duration;
@@ -10,14 +12,22 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use teaselworks_policy::configuration::Kind;
 use teaselworks_policy::retry::{RetryReason, SlackShare};
+use teaselworks_policy::shares::{ExchangeKind, Totals};
 use teaselworks_policy::verdict::{Refusal, RefusalReason, Verdict};
 
+use self::admission::AdmissionCounters;
+pub use self::admission::SharesReport;
 use crate::event;
 
 /// Upper bounds of the latency histograms, in milliseconds.
 const LATENCY_BOUNDS_MS: [f64; 14] =
     [1.0, 2.0, 5.0, 10.0, 20.0, 40.0, 80.0, 160.0, 320.0, 640.0, 1_280.0, 2_560.0, 5_120.0, 1e4];
 
+/// Upper bounds of the histogram of actual to estimated slot time: steps of a factor of 1.4
+/// between a quarter and four, the bounds on the estimate, and of two beyond.
+const RATIO_BOUNDS: [f64; 13] =
+    [0.0625, 0.125, 0.25, 0.354, 0.5, 0.707, 1.0, 1.414, 2.0, 2.828, 4.0, 8.0, 16.0];
+
 /// Maximum number of label sets of one instrument.
 ///
 /// The OpenTelemetry library allocates a hash table for all of them in advance. With the library's
@@ -34,6 +44,15 @@
     Failed,
 }
 
+/// Direction of a datagram.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DatagramDirection {
+    /// To another router.
+    Sent,
+    /// From another router.
+    Received,
+}
+
 /// Outcome of the search for the origin of a stream that a caller resumes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LookupOutcome {
@@ -81,6 +100,7 @@
     registry: Registry,
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
+    admission: AdmissionCounters,
     retries: Counter<u64>,
     answers: Counter<u64>,
     broken_answers: Counter<u64>,
@@ -98,17 +118,22 @@
     routers: Gauge<u64>,
     withheld_retries: Counter<u64>,
     evacuated_zones: UpDownCounter<i64>,
+    load_datagrams: Counter<u64>,
+    load_totals_age: Gauge<u64>,
+    load_totals_routers: Gauge<u64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
+    demand_error: Histogram<f64>,
 }
 
 impl Metrics {
     /// Creates the metrics.
     ///
     /// ```
-    /// use teaselworks::metrics::Metrics;
+    /// use teaselworks::metrics::{Metrics, SharesReport};
     ///
-    /// assert!(Metrics::new().to_text().contains("teaselworks_refusals"));
+    /// let text = Metrics::new().to_text(&SharesReport::default());
+    /// assert!(text.contains("teaselworks_refusals"));
     /// ```
     pub fn new() -> Self {
         let registry = Registry::new();
@@ -122,6 +147,7 @@
         let meter = provider.meter("teaselworks");
         let metrics = Self {
             refusals: counter(&meter, "teaselworks_refusals", "Requests refused, by reason."),
+            admission: AdmissionCounters::new(&meter),
             retries: counter(&meter, "teaselworks_retries", "Attempts repeated, by reason."),
             answers: counter(&meter, "teaselworks_answers", "Requests answered, by kind."),
             broken_answers: counter(
@@ -187,6 +213,19 @@
                 .i64_up_down_counter("teaselworks_evacuated_zones")
                 .with_description("Zones whose upstreams get no new requests.")
                 .build(),
+            load_datagrams: counter(
+                &meter,
+                "teaselworks_load_datagrams",
+                "Datagrams of the exchange of offered load, by kind and direction.",
+            ),
+            load_totals_age: meter
+                .u64_gauge("teaselworks_load_totals_age_ms")
+                .with_description("Age of the oldest part of the fleet's offered load, by service.")
+                .build(),
+            load_totals_routers: meter
+                .u64_gauge("teaselworks_load_totals_routers")
+                .with_description("Routers in the fleet's offered load, by service; 0 without it.")
+                .build(),
             first_byte: latency_histogram(
                 &meter,
                 "teaselworks_first_byte_ms",
@@ -197,6 +236,11 @@
                 "teaselworks_duration_ms",
                 "Time from a request's arrival to the end of its answer.",
             ),
+            demand_error: meter
+                .f64_histogram("teaselworks_demand_error_ratio")
+                .with_description("Slot time that a request took, divided by its estimate.")
+                .with_boundaries(RATIO_BOUNDS.to_vec())
+                .build(),
             registry,
             _provider: provider,
         };
@@ -289,6 +333,26 @@
         self.routers.record(routers.into(), &[]);
     }
 
+    /// Counts a datagram of the exchange of offered load.
+    pub fn add_load_datagram(&self, kind: ExchangeKind, direction: DatagramDirection) {
+        let direction = match direction {
+            DatagramDirection::Sent => "sent",
+            DatagramDirection::Received => "received",
+        };
+        let labels = [KeyValue::new("kind", kind.as_str()), KeyValue::new("direction", direction)];
+        self.load_datagrams.add(1, &labels);
+    }
+
+    /// Sets age and number of routers of the totals of a service; without totals, the age stays at
+    /// that of the last ones.
+    pub fn set_load_totals(&self, service: &str, totals: Option<&Totals>) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.load_totals_routers.record(totals.map_or(0, |totals| totals.routers.into()), &labels);
+        if let Some(totals) = totals {
+            self.load_totals_age.record(totals.age.as_millis() as u64, &labels);
+        }
+    }
+
     /// Counts a request whose response is complete, and records its duration.
     pub fn add_answer(&self, kind: Kind, elapsed: Duration) {
         let kind = match kind {
@@ -305,6 +369,11 @@
         self.first_byte.record(elapsed.as_secs_f64() * 1e3, &[]);
     }
 
+    /// Records the ratio of the slot time that a request took to its estimate.
+    pub fn record_demand_error(&self, ratio: f64) {
+        self.demand_error.record(ratio, &[]);
+    }
+
     /// Counts a response that broke off after it had begun.
     pub fn add_broken_answer(&self) {
         self.broken_answers.add(1, &[]);
@@ -355,12 +424,14 @@
         self.in_progress.add(change, &[]);
     }
 
-    /// Returns all metrics as Prometheus text.
-    pub fn to_text(&self) -> String {
+    /// Returns all metrics, and those of `shares`, as Prometheus text.
+    pub fn to_text(&self, shares: &SharesReport) -> String {
+        let mut families = self.registry.gather();
+        families.extend(shares.metric_families());
         let mut text = Vec::new();
         // Encoding into a vector fails only for inconsistent metric families; the page then lacks
         // metrics, or is empty.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        let _ = TextEncoder::new().encode(&families, &mut text);
         let mut text = String::from_utf8(text).unwrap_or_default();
         text.push_str(&format!(
             "# HELP teaselworks_log_lines_dropped_total Log lines dropped for a slow reader.\n\
--- a/teaselworks/src/platform/headers.rs
+++ b/teaselworks/src/platform/headers.rs
@@ -20,6 +20,8 @@
 /// Number of prompt tokens and maximum number of output tokens; not the number of tokens that were
 /// used.
 const TOKEN_USAGE: HeaderName = HeaderName::from_static("x-token-usage");
+/// Number of output tokens that the caller expects.
+const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
 /// Parts of the prompt in order, each as `hexadecimal identifier:number of tokens`.
 const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-prompt-prefix");
 /// Address of a replica from which the upstream may copy cached parts of the prompt.
@@ -171,7 +173,8 @@
     (0.0..=1e9).contains(&ms).then(|| Duration::from_secs_f64(ms / 1e3))
 }
 
-/// Parses the description of a prompt; `None` if it is missing or a number in it is invalid.
+/// Parses the description of a prompt; `None` if it is missing or a number in it is invalid. An
+/// invalid length hint only counts as absent.
 fn parse_prompt(headers: &HeaderMap) -> Option<Prompt> {
     let usage = single_value(headers, &TOKEN_USAGE)?;
     let (input, output) = usage.split_once(',')?;
@@ -185,6 +188,7 @@
         parts,
         input_tokens: input.trim().parse().ok()?,
         output_tokens: output.trim().parse().ok()?,
+        output_hint: single_value(headers, &LENGTH_HINT).and_then(|hint| hint.trim().parse().ok()),
     })
 }
 
@@ -226,7 +230,7 @@
         }
         forwarded.append(name.clone(), value.clone());
     }
-    forwarded.insert(DEADLINE, HeaderValue::from(added.remaining.as_millis() as u64));
+    set_remaining(&mut forwarded, added.remaining);
     insert_if_valid(&mut forwarded, EXPECT_INSTANCE, added.upstream_id);
     if let Some(workspace) = added.workspace {
         insert_if_valid(&mut forwarded, TENANT, workspace);
@@ -265,13 +269,18 @@
             forwarded.append(name.clone(), value.clone());
         }
     }
-    forwarded.insert(DEADLINE, HeaderValue::from(remaining.as_millis() as u64));
+    set_remaining(&mut forwarded, remaining);
     if let Some(id) = last_event_id {
         insert_if_valid(&mut forwarded, LAST_EVENT_ID, id);
     }
     forwarded
 }
 
+/// States the time left until the deadline of a request in its headers.
+pub fn set_remaining(headers: &mut HeaderMap, remaining: Duration) {
+    headers.insert(DEADLINE, HeaderValue::from(remaining.as_millis() as u64));
+}
+
 /// Inserts a header unless its value contains characters that a header cannot carry.
 fn insert_if_valid(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     // Names in the configuration may contain such characters. The header is then left out, and an
--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -13,8 +13,11 @@
 use hyper::body::Incoming;
 use teaselworks_policy::configuration::{Configuration, RequestLimits, Route, Workspace};
 use teaselworks_policy::deadline::Deadline;
+use teaselworks_policy::placement::Prompt;
+use teaselworks_policy::shares::Class;
 use teaselworks_policy::verdict::RefusalReason;
 
+use super::Shared;
 use super::body::{self, BodyError, OutgoingBody};
 use crate::platform::headers::{self, RequestMetadata};
 
@@ -29,6 +32,8 @@
     pub(super) service: Arc<str>,
     pub(super) workspace: Option<Arc<Workspace>>,
     pub(super) deadline: Deadline,
+    /// Class by which an overloaded service is divided.
+    pub(super) class: Class,
     /// Whether the caller probably repeats a request that was refused before: the deadline it sent
     /// is clearly shorter than usual for the route. [`check`] leaves this false; `serve` sets it.
     pub(super) is_late: bool,
@@ -38,11 +43,18 @@
 }
 
 impl PreparedRequest {
-    /// Returns the priority of the request: that of its workspace if it has one, otherwise that of
-    /// its route.
-    pub(super) fn priority(&self) -> u8 {
+    /// Returns the priority by which engines order the request: by its rank where routers do, and
+    /// otherwise that of its workspace, or of its route if the workspace has none.
+    pub(super) fn engine_priority(&self, shared: &Shared) -> u8 {
+        let by_rank = shared.fleet().engine_priority(&self.class);
         let workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
-        workspace.unwrap_or(self.route.priority)
+        by_rank.or(workspace).unwrap_or(self.route.priority)
+    }
+
+    /// Returns the prompt; `None` for a request of a route without prompts, whatever its headers
+    /// say.
+    pub(super) fn prompt(&self) -> Option<&Prompt> {
+        self.metadata.prompt.as_ref().filter(|_| self.route.has_prompts)
     }
 }
 
@@ -79,12 +91,14 @@
     let headers = copy_headers(&head.headers);
     let method = head.method;
     let is_late = false;
+    let class = Class::new(workspace.as_deref(), route.priority);
     Ok(PreparedRequest {
         metadata,
         route,
         service,
         workspace,
         deadline,
+        class,
         is_late,
         method,
         target,
--- a/teaselworks/src/relay/request_state.rs
+++ b/teaselworks/src/relay/request_state.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::HeaderMap;
 use teaselworks_policy::configuration::Configuration;
@@ -10,6 +11,7 @@
 use teaselworks_policy::retry::{
     AttemptHistory, BudgetReading, Decision, Failure, RetryReason, SlackShare, decide_retry,
 };
+use teaselworks_policy::shares::Admission;
 use teaselworks_policy::stream_origin::StreamOrigin;
 use teaselworks_policy::upstream::RequestOutcome;
 use teaselworks_policy::verdict::{Refusal, RefusalReason, Verdict};
@@ -19,6 +21,7 @@
 use super::origin::Origin;
 use super::request::{PreparedRequest, RequestBody};
 use crate::event::{self, Event};
+use crate::kernel::ShutdownPhase;
 
 /// State of a request that is being served, across all its attempts.
 pub(super) struct RequestState {
@@ -69,10 +72,19 @@
 
     /// Records that the router at `address` took the request.
     pub(super) fn hand_over(&mut self, address: SocketAddr) {
+        self.count_admission();
         self.tried.push(address.to_string().into());
         self.is_handed_over = true;
     }
 
+    /// Counts a request of a caller that is sent for the first time.
+    fn count_admission(&self) {
+        if self.origin == Origin::Caller && self.tried.is_empty() {
+            let rank = self.prepared.class.rank;
+            self.shared.metrics.add_admitted_request(&self.prepared.service, rank);
+        }
+    }
+
     /// Records that the first event of a stream arrived from a replica with this software version.
     /// Other routers are notified before the caller can come back with the event.
     pub(super) fn on_first_event(&mut self, version: &Arc<str>) {
@@ -85,6 +97,24 @@
         self.stream_origin = Some(Arc::new(origin));
     }
 
+    /// Returns the time after the deadline for which the answer of an upstream is awaited.
+    ///
+    /// A router that forwards a request has left itself that time already: the deadline that it
+    /// states is earlier than its own. A stopping router admits requests by their deadlines and exits
+    /// when these have passed.
+    pub(super) fn reply_wait(&self) -> Duration {
+        let is_stopping = self.shared.shutdown.phase() > ShutdownPhase::Running;
+        match self.origin {
+            Origin::Caller if !is_stopping => self.shared.fleet().connect_times.reply_margin(),
+            Origin::Caller | Origin::Router { .. } => Duration::ZERO,
+        }
+    }
+
+    /// Returns the time left for an answer whose head has arrived.
+    pub(super) fn remaining_for_answer(&self) -> Duration {
+        (self.prepared.deadline.end() + self.reply_wait()).saturating_sub(self.shared.now())
+    }
+
     /// Returns how many more times the request may run.
     pub(super) fn remaining_runs(&self) -> u32 {
         self.max_runs.saturating_sub(self.runs)
@@ -101,22 +131,7 @@
     pub(super) fn place(&mut self, resumed_after: Option<&str>) -> Result<Placement, Refusal> {
         let now = self.shared.now();
         let deadline = &self.prepared.deadline;
-        let request = PlacementRequest {
-            prompt: self
-                .prepared
-                .metadata
-                .prompt
-                .as_ref()
-                .filter(|_| self.prepared.route.has_prompts),
-            zone: &self.shared.zone,
-            tried: &self.tried,
-            version: self.stream_origin.as_ref().map(|origin| &*origin.version),
-            begins_stream: self.prepared.route.is_resumable,
-            remaining: deadline.remaining(now),
-            max_retry_after: deadline.max_retry_after(now),
-            is_late: self.prepared.is_late,
-            has_started: self.stream_origin.is_some() || resumed_after.is_some() || self.runs > 0,
-        };
+        let request = self.placement_request(resumed_after);
         let mut placement = self.shared.fleet().place(now, &self.prepared.service, &request)?;
         if placement.is_home_cold {
             self.shared.metrics.add_cold_home();
@@ -126,6 +141,8 @@
         event::REQUEST_PLACED.log(&[
             event::text("request", &self.prepared.metadata.id),
             event::text("service", &self.prepared.service),
+            event::text("rank", &self.prepared.class.rank),
+            event::text("workspace", &self.prepared.class.workspace.as_deref().unwrap_or("")),
             event::text("upstream", &placement.upstream.id),
             event::text("reason", &placement.reason.as_str()),
             event::text("load", &format_args!("{:.1}", placement.load)),
@@ -144,10 +161,40 @@
             event::text("version", &placement.upstream.version),
             event::text("resumes", &self.resumed_stream_id()),
         ]);
+        self.count_admission();
         self.tried.push(placement.upstream.id.clone());
         Ok(placement)
     }
 
+    /// Returns what placement needs to know of the request.
+    fn placement_request(&self, resumed_after: Option<&str>) -> PlacementRequest<'_> {
+        let now = self.shared.now();
+        let deadline = &self.prepared.deadline;
+        // The router that the caller sent the request to has decided on its class.
+        let class = (self.origin == Origin::Caller).then_some(&self.prepared.class);
+        PlacementRequest {
+            prompt: self.prepared.prompt(),
+            zone: &self.shared.zone,
+            tried: &self.tried,
+            version: self.stream_origin.as_ref().map(|origin| &*origin.version),
+            begins_stream: self.prepared.route.is_resumable,
+            remaining: deadline.remaining(now),
+            max_retry_after: deadline.max_retry_after(now),
+            is_late: self.prepared.is_late,
+            class,
+            admission: Admission::Normal,
+            has_started: self.stream_origin.is_some() || resumed_after.is_some() || self.runs > 0,
+        }
+    }
+
+    /// Decides whether the request may be handed to another router, which does not decide on its class
+    /// again.
+    pub(super) fn admit_detour(&self, resumed_after: Option<&str>) -> Result<(), Refusal> {
+        let now = self.shared.now();
+        let request = self.placement_request(resumed_after);
+        self.shared.fleet().admit_detour(now, &self.prepared.service, &request)
+    }
+
     /// Returns the identifier of the stream that the caller resumes, or an empty string.
     fn resumed_stream_id(&self) -> &str {
         self.prepared.metadata.resumed_stream.as_ref().map_or("", |stream| &*stream.id)
@@ -156,8 +203,7 @@
     /// Returns the identifiers of the prompt's parts that other requests may share; `None` if the
     /// request has no such part.
     fn shared_part_ids(&self) -> Option<SharedParts> {
-        let prompt = self.prepared.metadata.prompt.as_ref();
-        let parts = prompt.filter(|_| self.prepared.route.has_prompts)?.shared_parts();
+        let parts = self.prepared.prompt()?.shared_parts();
         (!parts.is_empty()).then(|| parts.iter().map(|part| part.id).collect())
     }
 
--- a/teaselworks_policy/benches/placement.rs
+++ b/teaselworks_policy/benches/placement.rs
@@ -8,6 +8,7 @@
 use teaselworks_policy::placement::{
     PlacementRequest, PlacementSettings, Prompt, PromptPart, place,
 };
+use teaselworks_policy::shares::Admission;
 use teaselworks_policy::upstream::{Pool, Upstream};
 
 fn pool(replicas: u32) -> Pool {
@@ -21,7 +22,7 @@
 fn placement(criterion: &mut Criterion) {
     let settings = PlacementSettings { load_factor: 2.0, routers: 8 };
     let parts = [1, 2, 3].map(|id| PromptPart { id, tokens: 100 }).to_vec();
-    let prompt = Prompt { parts, input_tokens: 300, output_tokens: 100 };
+    let prompt = Prompt { parts, input_tokens: 300, output_tokens: 100, output_hint: None };
     let mut random = rand_pcg::Pcg32::seed_from_u64(1);
     for replicas in [18, 800] {
         let pool = pool(replicas);
@@ -35,6 +36,8 @@
             max_retry_after: Duration::from_secs(3),
             has_started: false,
             is_late: false,
+            class: None,
+            admission: Admission::Normal,
         };
         criterion.bench_function(&format!("placement of a prompt, {replicas} replicas"), |bench| {
             bench.iter(|| {
--- a/teaselworks_policy/src/upstream/slot_share.rs
+++ b/teaselworks_policy/src/upstream/slot_share.rs
@@ -151,7 +151,13 @@
     /// assert!(!SlotShare::default().allows(&surge), "the other routers may have as many by now");
     /// ```
     pub fn allows(&self, load: &ServiceLoad) -> bool {
-        load.own_requests + 1.0 <= self.limit(load)
+        self.allows_with_headroom(load, 1.0)
+    }
+
+    /// Returns whether this router may send another request if its limit is multiplied by
+    /// `headroom`.
+    pub(super) fn allows_with_headroom(&self, load: &ServiceLoad, headroom: f64) -> bool {
+        load.own_requests + 1.0 <= self.limit(load) * headroom
     }
 
     /// Returns the number of requests that this router may have in progress: what it had at the
--- a/teaselworks_policy/tests/cold_placement.rs
+++ b/teaselworks_policy/tests/cold_placement.rs
@@ -8,6 +8,7 @@
 use teaselworks_policy::placement::{
     PlacementReason, PlacementRequest, PlacementSettings, Prompt, PromptPart, place,
 };
+use teaselworks_policy::shares::Admission;
 use teaselworks_policy::upstream::{
     ColdBound, ColdSettings, LoadReport, Pool, RequestOutcome, Upstream,
 };
@@ -32,7 +33,7 @@
     pool.set_cold_bound(Some(ColdBound::new(18.0, &ColdSettings { overshoot: 1.5, slack: 5.0 })));
     pool.set_cold_remaining(NOW, "i-2", second);
     let parts = [1, 10, 11].map(|id| PromptPart { id, tokens: 100 }).to_vec();
-    let prompt = Prompt { parts, input_tokens: 300, output_tokens: 50 };
+    let prompt = Prompt { parts, input_tokens: 300, output_tokens: 50, output_hint: None };
     let request = PlacementRequest {
         prompt: Some(&prompt),
         zone: "a",
@@ -43,6 +44,8 @@
         max_retry_after: second,
         has_started: false,
         is_late: false,
+        class: None,
+        admission: Admission::Normal,
     };
     let settings = PlacementSettings { load_factor: 2.0, routers: 1 };
     let mut random = Pcg32::seed_from_u64(7);
--- a/teaselworks_policy/tests/placement.rs
+++ b/teaselworks_policy/tests/placement.rs
@@ -10,6 +10,7 @@
     Placement, PlacementReason, PlacementRequest, PlacementSettings, Prompt, PromptPart,
     hash_upstream_id, place, rendezvous_score,
 };
+use teaselworks_policy::shares::Admission;
 use teaselworks_policy::upstream::{
     Incarnation, LoadReport, ObservationIndex, Pool, RequestOutcome, Upstream,
 };
@@ -40,7 +41,7 @@
 /// Returns a prompt of three parts with the affinity key `key`.
 fn prompt(key: u64) -> Prompt {
     let parts = [1, key, 1_000_000 + key].map(|id| PromptPart { id, tokens: 100 }).to_vec();
-    Prompt { parts, input_tokens: 300, output_tokens: 50 }
+    Prompt { parts, input_tokens: 300, output_tokens: 50, output_hint: None }
 }
 
 fn request(prompt: Option<&Prompt>) -> PlacementRequest<'_> {
@@ -56,6 +57,8 @@
         max_retry_after: second,
         has_started: false,
         is_late: false,
+        class: None,
+        admission: Admission::Normal,
     }
 }
 
--- a/teaselworks_policy/tests/stream_origins.rs
+++ b/teaselworks_policy/tests/stream_origins.rs
@@ -7,6 +7,7 @@
 use teaselworks_policy::placement::{
     PlacementReason, PlacementRequest, PlacementSettings, Prompt, PromptPart, place,
 };
+use teaselworks_policy::shares::Admission;
 use teaselworks_policy::stream_origin::{StreamOrigin, StreamOrigins};
 use teaselworks_policy::upstream::{ColdBound, ColdSettings, Pool, RequestOutcome, Upstream};
 use teaselworks_policy::verdict::RefusalReason;
@@ -31,7 +32,7 @@
 
 fn prompt(key: u64) -> Prompt {
     let parts = [1, key, 1_000_000 + key].map(|id| PromptPart { id, tokens: 100 }).to_vec();
-    Prompt { parts, input_tokens: 300, output_tokens: 50 }
+    Prompt { parts, input_tokens: 300, output_tokens: 50, output_hint: None }
 }
 
 fn request<'a>(prompt: Option<&'a Prompt>, version: Option<&'a str>) -> PlacementRequest<'a> {
@@ -46,6 +47,8 @@
         max_retry_after: second,
         has_started: version.is_some(),
         is_late: false,
+        class: None,
+        admission: Admission::Normal,
     }
 }
 
