--- a/teaselworks_policy/tests/shares.rs
+++ b/teaselworks_policy/tests/shares.rs
@@ -215,6 +215,34 @@
     assert!((90..=110).contains(&refused), "{refused} of 200 refused after the totals");
 }
 
+/// Guards against slots of short requests that stay unused, and against a router out of touch that goes
+/// on to use more than its part since its last totals showed unused slots.
+#[test]
+fn unused_slots_of_short_requests_are_filled_only_with_totals() {
+    let mut shares = Shares::new(BOTH);
+    let rows = vec![row("a", 50.0, [100.0, 100.0]), row("b", 50.0, [100.0, 100.0])];
+    let idle = Totals { in_progress: 0.0, ..totals(rows, 20, 300 * MS) };
+    // Eight slots are offered at this router; its part of the capacity is five.
+    let refused_share = |shares: &mut Shares, start: Duration, has_totals: bool| {
+        let mut refused = 0;
+        for step in 0..800 {
+            let now = start + 5 * MS * step;
+            if has_totals {
+                shares.set_totals(now, &"chat".into(), idle.clone());
+            }
+            for class in [class("a", 0), class("b", 1)] {
+                let admission = send_of(shares, now, &class, 20 * MS, 100.0, 20);
+                refused += usize::from(step >= 600 && is_refused(&admission));
+            }
+        }
+        refused as f64 / 400.0
+    };
+    let with_totals = refused_share(&mut shares, START, true);
+    assert!((with_totals - 0.25).abs() < 0.05, "{with_totals}: 300 of 400 slots are admitted");
+    let alone = refused_share(&mut shares, START + 4 * SLOT_TIME, false);
+    assert!((alone - 0.375).abs() < 0.1, "{alone}: five of eight slots are admitted");
+}
+
 /// Guards against routers in touch that use the part of those that are not.
 #[test]
 fn routers_that_are_not_in_the_totals_keep_their_part() {
