--- a/teaselworks_policy/src/placement/narrow.rs
+++ b/teaselworks_policy/src/placement/narrow.rs
@@ -17,14 +17,12 @@
 /// [`choose_by_room`], in standard deviations of the load of a replica when requests are placed at
 /// random. With a load factor of 2, the distance is larger unless some replicas get no requests.
 const NARROW_RANGE_DEVIATIONS: f64 = 2.0;
-/// Number of replicas at the start of a key's order that share its requests. Three read or copy a
-/// sixth more prompt tokens, and keep more requests within the bound only with few routers (in the
-/// model 0.050 beyond it in place of 0.056 with 7, no fewer with 91 and 295).
+/// Number of replicas at the start of a key's order that share its requests. Each further one has to
+/// read or copy the prompts of the key, too.
 const SHARING_REPLICAS: usize = 2;
 /// Time constant with which a reported difference from the mean load fades. All routers send more
-/// requests where a report shows room, so that the room is used up before the next report. In the
-/// model with 295 routers 0.078 of the requests are beyond the bound; with 0.2, 0.3, 0.6 and 2 s
-/// 0.081 to 0.098.
+/// requests where a report shows room, so that the room is used up before the next report, about as
+/// long after the last one.
 const DIFFERENCE_TIME_CONSTANT: Duration = Duration::from_millis(400);
 
 /// Tells whether the range from the mean load to the largest allowed load is narrow.
--- a/teaselworks_policy/src/upstream/connecting.rs
+++ b/teaselworks_policy/src/upstream/connecting.rs
@@ -20,10 +20,9 @@
 /// and this router's time to notice.
 const REPLY_MARGIN_MULTIPLE: u32 = 2;
 /// Minimum reply margin. An upstream and a router that share CPU cores with others are often some
-/// milliseconds late. Chosen, not measured.
+/// milliseconds late.
 const MIN_REPLY_MARGIN: Duration = Duration::from_millis(20);
-/// Maximum reply margin, which bounds how long callers are held beyond their deadline. Chosen, not
-/// measured.
+/// Maximum reply margin, which bounds how long callers are held beyond their deadline.
 const MAX_REPLY_MARGIN: Duration = Duration::from_millis(50);
 /// Consecutive timeouts that indicate that the router's own network link is slow.
 const SLOW_LINK_TIMEOUTS: u32 = 4;
--- a/teaselworks_policy/src/upstream/pool/capacity.rs
+++ b/teaselworks_policy/src/upstream/pool/capacity.rs
@@ -13,8 +13,8 @@
 const PLANNED_REQUESTS_PER_SLOT_WITHOUT_REPORTS: f64 = 2.5;
 /// Time for which a computed capacity is used: replicas come and go in seconds.
 const CAPACITY_LIFETIME: Duration = Duration::from_millis(100);
-/// Age up to which the requests in progress that other routers state are used: totals of a calm
-/// service are up to 2.3 s old, and tell more of it than this router's own requests.
+/// Age up to which the requests in progress that other routers state are used: totals of a
+/// service that is not loaded are up to 2.3 s old, and tell more of it than this router's own requests.
 const MAX_PEER_REQUESTS_AGE: Duration = Duration::from_millis(2_500);
 
 /// Requests that other routers have in progress at a service, as they state.
@@ -33,7 +33,7 @@
 
 impl Pool {
     /// Returns the slots that the requests of all routers together may take: those of the replicas
-    /// that take requests, times the requests per slot that the service bears.
+    /// that take requests, times the requests per slot that are divided.
     pub fn capacity_slots(&mut self, now: Duration) -> f64 {
         let is_recent =
             |known: &Capacity| now.saturating_sub(known.computed_at) < CAPACITY_LIFETIME;
