Name requests by fingerprint in logs, and what a broken attempt is attributed to

Cause: the log could not tell apart three reasons for which a request goes on crashing replicas: identifiers differ between the tries of a caller, and no line said what a crash was attributed to. Change: a fingerprint of what the answer is computed from in request_placed; the event attempt_broken and the counter teaselworks_broken_attempts_total by attribution. No logic changed.

--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -56,7 +56,7 @@
     CALLER_LEFT = 703 Info "caller_left" "The caller closed its connection before its answer was complete; the upstream's connection was closed too.";
 
     // 800-899: routing.
-    REQUEST_PLACED = 800 Info "request_placed" "A request is sent to an upstream; the fields name the reason for the choice, the rank and the workspace (empty: none).";
+    REQUEST_PLACED = 800 Info "request_placed" "A request is sent to an upstream; the fields name the fingerprint of the request, the reason for the choice, the rank and the workspace (empty: none).";
     ATTEMPT_RETRIED = 801 Info "attempt_retried" "An attempt failed, and the request is retried. The fields tell what paid for it before the decision: the retries that recent requests could pay for (credit), what was left of this router's part of the slack (slack_left), how the slack is divided (share, by the number of routers) or why this router has no part of it (settling, unregistered, list_outdated), the age of its list, and its retries within the window (used). They are -1 for a retry that counts against no budget, or follows attempt_abandoned.";
     ATTEMPT_FAILED = 802 Info "attempt_failed" "An attempt failed and the request is not retried; the fields name how it failed and why there is no retry.";
     CONNECT_FAILED = 803 Info "connect_failed" "A connection to an upstream could not be opened; the fields name the cause, how long it took, and the timeout that applied.";
@@ -65,6 +65,7 @@
     STREAM_LOOKED_UP = 806 Info "stream_looked_up" "A caller resumes a stream: the fields name the request whose answer began it, the version that did, and how that is known: to this router (known), to another one (told), or since no other version of the service can have begun it (sole). A stream of unknown origin (unknown) is refused.";
     RETRY_WITHHELD = 807 Info "retry_withheld" "The retry budget allows no retry: a request that failed is refused, and one whose upstream is silent goes on there. The fields are those of attempt_retried.";
     ATTEMPT_ABANDONED = 808 Info "attempt_abandoned" "An upstream was silent for the route's silence timeout, and the attempt is abandoned for a retry. The fields are those of attempt_retried, which follows.";
+    ATTEMPT_BROKEN = 809 Info "attempt_broken" "An upstream broke off a request. The fields give the fingerprint, by which attempts of a caller under several identifiers are recognized, the times since the request was sent and since its answer began (-1: it had not), and what the break is attributed to: the shared parts of the prompt (parts), nothing since the request has none (no_parts) or was written for a while (written), or this router's own link (link).";
 
     // 900-999: upstreams.
     UPSTREAM_SERVING = 900 Info "upstream_serving" "An upstream accepts requests, or its properties changed.";
--- a/teaselworks/src/metrics.rs
+++ b/teaselworks/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and histograms of one router, exported as Prometheus text.
 
 mod admission;
+mod crash;
 
 use std::fmt;
 use std::io::ErrorKind;
@@ -17,6 +18,7 @@
 
 use self::admission::AdmissionCounters;
 pub use self::admission::SharesReport;
+pub use self::crash::CrashAttribution;
 use crate::event;
 
 /// Upper bounds of the latency histograms, in milliseconds.
@@ -113,6 +115,7 @@
     cold_homes: Counter<u64>,
     stream_lookups: Counter<u64>,
     suspected_parts: Counter<u64>,
+    broken_attempts: Counter<u64>,
     blocked_parts: UpDownCounter<i64>,
     in_progress: UpDownCounter<i64>,
     routers: Gauge<u64>,
@@ -192,6 +195,11 @@
                 "teaselworks_suspected_parts",
                 "Parts of prompts that this router suspected of crashing replicas.",
             ),
+            broken_attempts: counter(
+                &meter,
+                "teaselworks_broken_attempts",
+                "Attempts that an upstream broke off, by what that is attributed to.",
+            ),
             blocked_parts: meter
                 .i64_up_down_counter("teaselworks_blocked_parts")
                 .with_description("Parts of prompts whose requests are refused.")
@@ -263,6 +271,11 @@
         self.suspected_parts.add(1, &[]);
     }
 
+    /// Counts an attempt that an upstream broke off.
+    pub fn add_broken_attempt(&self, attribution: CrashAttribution) {
+        self.broken_attempts.add(1, &[KeyValue::new("attribution", attribution.as_str())]);
+    }
+
     /// Adds to the number of blocked parts of prompts.
     pub fn add_blocked_parts(&self, change: i64) {
         self.blocked_parts.add(change, &[]);
@@ -279,6 +292,10 @@
         self.evacuated_zones.add(0, &[]);
         self.blocked_parts.add(0, &[]);
         self.suspected_parts.add(0, &[]);
+        for attribution in CrashAttribution::ALL {
+            let label = KeyValue::new("attribution", attribution.as_str());
+            self.broken_attempts.add(0, &[label]);
+        }
         for reason in RefusalReason::ALL {
             for verdict in [Verdict::NotRun, Verdict::MayHaveRun] {
                 self.refusals.add(0, &refusal_labels(reason, verdict));
--- a/teaselworks/src/platform/headers.rs
+++ b/teaselworks/src/platform/headers.rs
@@ -16,6 +16,7 @@
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-expect-instance");
 /// Name of the caller's workspace, which the platform calls a tenant.
 const TENANT: HeaderName = HeaderName::from_static("x-tenant");
+const MODEL: HeaderName = HeaderName::from_static("x-model");
 const PRIORITY: HeaderName = HeaderName::from_static("x-request-priority");
 /// Number of prompt tokens and maximum number of output tokens; not the number of tokens that were
 /// used.
@@ -83,6 +84,8 @@
     pub deadline: Option<Duration>,
     /// API key of the caller, if present.
     pub api_key: Option<String>,
+    /// Model that the request is for; empty if the headers name none.
+    pub model: Arc<str>,
     /// Prompt, if the headers describe it.
     pub prompt: Option<Prompt>,
     /// The stream that the request resumes, if it does.
@@ -140,8 +143,9 @@
             .contains_key(&LAST_EVENT_ID)
             .then(|| ResumedStream { id: id.clone(), is_named: false }),
     };
+    let model = single_value(headers, &MODEL).unwrap_or_default().into();
     let prompt = parse_prompt(headers);
-    Ok(RequestMetadata { id, deadline, api_key, prompt, resumed_stream })
+    Ok(RequestMetadata { id, deadline, api_key, model, prompt, resumed_stream })
 }
 
 /// Returns the host that a request names.
--- a/teaselworks/src/relay/in_flight.rs
+++ b/teaselworks/src/relay/in_flight.rs
@@ -11,6 +11,17 @@
 use super::Shared;
 use super::request::PreparedRequest;
 use crate::event;
+use crate::metrics::CrashAttribution;
+
+/// What the crash of a replica is attributed to.
+pub(super) struct RequestIdentity {
+    /// Identifier that the caller gave to this attempt of its request.
+    pub(super) id: Arc<str>,
+    /// Hash of what the answer is computed from.
+    pub(super) fingerprint: u64,
+    /// Parts of the prompt that other requests may share, if the upstream is an engine.
+    pub(super) parts: Option<SharedParts>,
+}
 
 /// A request that counts as in flight at an upstream.
 ///
@@ -25,8 +36,8 @@
     outcome: Option<RequestOutcome>,
     /// Whether another router forwards the request, so that it says nothing about an upstream.
     is_at_router: bool,
-    /// Parts of the prompt that other requests may share, if the upstream is an engine.
-    parts: Option<SharedParts>,
+    /// The request; `None` if another router forwards it.
+    request: Option<RequestIdentity>,
     /// When the head of the answer arrived.
     first_byte_at: Option<Duration>,
     /// Whether the answer has been written for long enough to speak for the parts of the prompt.
@@ -41,7 +52,7 @@
         shared: Arc<Shared>,
         service: Arc<str>,
         placement: &Placement,
-        parts: Option<SharedParts>,
+        request: RequestIdentity,
     ) -> Self {
         let started_at = shared.now();
         Self {
@@ -52,7 +63,7 @@
             started_at,
             outcome: None,
             is_at_router: false,
-            parts,
+            request: Some(request),
             first_byte_at: None,
             is_written: false,
             is_resumed: false,
@@ -71,7 +82,7 @@
             started_at,
             outcome: None,
             is_at_router: true,
-            parts: None,
+            request: None,
             first_byte_at: None,
             is_written: false,
             is_resumed: false,
@@ -118,16 +129,47 @@
     /// Records that the upstream broke off, which a part of the prompt may have caused if the answer
     /// had not been written for a while.
     pub(super) fn on_broken(&self) {
-        let Some(parts) = self.parts.as_ref().filter(|_| !self.is_written) else { return };
-        // Requests also break off where the router's own link fails.
-        if !self.shared.fleet().is_link_down(&self.service) {
+        let Some(request) = &self.request else { return };
+        let attribution = self.attribution(request);
+        self.log_broken(request, attribution);
+        if let (Some(parts), CrashAttribution::Parts) = (&request.parts, attribution) {
             self.shared.on_crashed(parts, self.incarnation.hash(), self.started_at);
         }
     }
 
+    /// Returns what the end of the attempt is attributed to.
+    fn attribution(&self, request: &RequestIdentity) -> CrashAttribution {
+        // Requests also break off where the router's own link fails.
+        if self.shared.fleet().is_link_down(&self.service) {
+            CrashAttribution::Link
+        } else if request.parts.is_none() {
+            CrashAttribution::NoParts
+        } else if self.is_written {
+            CrashAttribution::Written
+        } else {
+            CrashAttribution::Parts
+        }
+    }
+
+    fn log_broken(&self, request: &RequestIdentity, attribution: CrashAttribution) {
+        let now = self.shared.now();
+        let written = self.first_byte_at.map(|at| now.saturating_sub(at));
+        self.shared.metrics.add_broken_attempt(attribution);
+        event::ATTEMPT_BROKEN.log(&[
+            event::text("request", &request.id),
+            event::text("fingerprint", &format_args!("{:x}", request.fingerprint)),
+            event::text("upstream", &self.incarnation.id),
+            event::text("service", &self.service),
+            event::text("attribution", &attribution.as_str()),
+            event::number("sent_ms", now.saturating_sub(self.started_at).as_millis() as u64),
+            event::text("written_ms", &written.map_or(-1, |time| time.as_millis() as i64)),
+        ]);
+    }
+
     /// Records that the answer was written for a while, or is complete.
     fn on_written(&mut self) {
-        let Some(parts) = self.parts.as_ref().filter(|_| !self.is_written) else { return };
+        let parts = self.request.as_ref().and_then(|request| request.parts.as_ref());
+        let Some(parts) = parts.filter(|_| !self.is_written) else { return };
         self.is_written = true;
         self.shared.on_written(parts, self.first_byte_at.unwrap_or(self.started_at));
     }
--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
 use teaselworks_policy::configuration::{Configuration, RequestLimits, Route, Workspace};
+use teaselworks_policy::crash::{RequestContent, body_hash};
 use teaselworks_policy::deadline::Deadline;
 use teaselworks_policy::placement::Prompt;
 use teaselworks_policy::shares::Class;
@@ -40,6 +41,8 @@
     pub(super) method: Method,
     pub(super) target: Uri,
     pub(super) headers: HeaderMap,
+    /// Hash of what the answer is computed from; 0 until the body was read.
+    pub(super) fingerprint: u64,
 }
 
 impl PreparedRequest {
@@ -51,6 +54,20 @@
         by_rank.or(workspace).unwrap_or(self.route.priority)
     }
 
+    /// Sets the fingerprint of the request, whose body is now known.
+    pub(super) fn set_fingerprint(&mut self, body: &RequestBody) {
+        let content = RequestContent {
+            workspace: self.workspace.as_ref().map_or("", |workspace| &*workspace.name),
+            host: headers::host(&self.headers, &self.target).unwrap_or_default(),
+            method: self.method.as_str(),
+            target: self.target.path_and_query().map_or("", |target| target.as_str()),
+            model: &self.metadata.model,
+            prompt: self.prompt(),
+            body_hash: body.hash(),
+        };
+        self.fingerprint = content.fingerprint();
+    }
+
     /// Returns the prompt; `None` for a request of a route without prompts, whatever its headers
     /// say.
     pub(super) fn prompt(&self) -> Option<&Prompt> {
@@ -103,6 +120,7 @@
         method,
         target,
         headers,
+        fingerprint: 0,
     })
 }
 
@@ -133,6 +151,8 @@
         body: Option<OutgoingBody>,
         /// Length of the body, if the caller sent a `Content-Length`.
         size_bytes: Option<u64>,
+        /// Hash of the beginning of the body.
+        beginning_hash: u64,
     },
 }
 
@@ -142,18 +162,26 @@
         matches!(self, RequestBody::Buffered(_))
     }
 
+    /// Returns the hash of the body, or of its beginning if it is not buffered.
+    fn hash(&self) -> u64 {
+        match self {
+            RequestBody::Buffered(bytes) => body_hash(bytes),
+            RequestBody::Streamed { beginning_hash, .. } => *beginning_hash,
+        }
+    }
+
     /// Returns the body for an attempt, and the length that the attempt has to set as its
     /// `Content-Length`. Returns `None` if a streamed body was sent already.
     pub(super) fn for_attempt(&mut self) -> Option<(OutgoingBody, Option<u64>)> {
         match self {
             RequestBody::Buffered(bytes) => Some((body::from_bytes(bytes.clone()), None)),
-            RequestBody::Streamed { body, size_bytes } => Some((body.take()?, *size_bytes)),
+            RequestBody::Streamed { body, size_bytes, .. } => Some((body.take()?, *size_bytes)),
         }
     }
 
     /// Frees the body, which is not sent again.
     pub(super) fn release(&mut self) {
-        *self = RequestBody::Streamed { body: None, size_bytes: None };
+        *self = RequestBody::Streamed { body: None, size_bytes: None, beginning_hash: 0 };
     }
 }
 
@@ -193,6 +221,7 @@
         }
     }
     let has_length = head.contains_key(header::CONTENT_LENGTH);
+    let beginning_hash = body_hash(&buffered);
     let partial = PartialBody {
         buffered: Some(buffered.freeze()),
         incoming,
@@ -202,6 +231,7 @@
     Ok(RequestBody::Streamed {
         body: Some(partial.into_body()),
         size_bytes: size_bytes.filter(|_| has_length),
+        beginning_hash,
     })
 }
 
--- a/teaselworks/src/relay/request_state.rs
+++ b/teaselworks/src/relay/request_state.rs
@@ -17,7 +17,7 @@
 use teaselworks_policy::verdict::{Refusal, RefusalReason, Verdict};
 
 use super::Shared;
-use super::in_flight::InFlightRequest;
+use super::in_flight::{InFlightRequest, RequestIdentity};
 use super::origin::Origin;
 use super::request::{PreparedRequest, RequestBody};
 use crate::event::{self, Event};
@@ -140,6 +140,7 @@
         let report_age = placement.report_age.map_or(-1, |age| age.as_millis() as i64);
         event::REQUEST_PLACED.log(&[
             event::text("request", &self.prepared.metadata.id),
+            event::text("fingerprint", &format_args!("{:x}", self.prepared.fingerprint)),
             event::text("service", &self.prepared.service),
             event::text("rank", &self.prepared.class.rank),
             event::text("workspace", &self.prepared.class.workspace.as_deref().unwrap_or("")),
@@ -242,7 +243,12 @@
     /// dropped. The placement already counted the request.
     pub(super) fn track_in_flight(&self, placement: &Placement) -> InFlightRequest {
         let service = self.prepared.service.clone();
-        InFlightRequest::new(self.shared.clone(), service, placement, self.shared_part_ids())
+        let request = RequestIdentity {
+            id: self.prepared.metadata.id.clone(),
+            fingerprint: self.prepared.fingerprint,
+            parts: self.shared_part_ids(),
+        };
+        InFlightRequest::new(self.shared.clone(), service, placement, request)
     }
 
     /// Decides whether another attempt follows a failed one. `has_begun` is true if the answer had
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -102,6 +102,7 @@
             return refuse(progress, Some(&id), &refusal, 0, version);
         }
     };
+    prepared.set_fingerprint(&body);
     let stream_origin = match bind_to_origin(&shared, &mut prepared).await {
         Ok(stream_origin) => stream_origin,
         Err(reason) => {
--- a/teaselworks_policy/src/crash/mod.rs
+++ b/teaselworks_policy/src/crash/mod.rs
@@ -7,6 +7,7 @@
 //! decide.
 
 mod blocked;
+mod fingerprint;
 mod proof;
 mod suspicion;
 
@@ -15,6 +16,7 @@
 use std::time::Duration;
 
 pub use self::blocked::{BLOCK_TIME, BlockedParts};
+pub use self::fingerprint::{RequestContent, body_hash};
 use self::proof::ProvenParts;
 use self::suspicion::Suspicion;
 
