--- a/teaselworks/tests/crashing_parts.rs
+++ b/teaselworks/tests/crashing_parts.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use common::crashes::restart_replicas;
 use common::request;
 use futures_util::future::join_all;
 use nix::sys::signal::Signal;
@@ -18,8 +18,6 @@
 
 /// Number of engines.
 const ENGINES: usize = 8;
-/// Time after which a crashed engine is back.
-const DOWN_TIME: Duration = Duration::from_millis(500);
 /// Time after the fifth crash from which at most [`MAX_LATE_REQUESTS`] may reach engines.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Number of crashes after which the bound counts.
@@ -88,29 +86,9 @@
     fleet
 }
 
-/// Starts crashed engines again, each after [`DOWN_TIME`], until `is_over`. Returns the times of all
-/// crashes.
+/// Starts crashed engines again until `is_over`. Returns the times of all crashes.
 async fn restart_engines(fleet: &Fleet, is_over: &AtomicBool) -> Vec<Instant> {
-    let mut crashes = Vec::new();
-    let mut down_since: HashMap<usize, Instant> = HashMap::new();
-    while !is_over.load(Ordering::Relaxed) {
-        for (number, engine) in fleet.engines.iter().enumerate() {
-            if engine.is_running() {
-                continue;
-            }
-            let since = *down_since.entry(number).or_insert_with(|| {
-                crashes.push(Instant::now());
-                Instant::now()
-            });
-            if since.elapsed() >= DOWN_TIME {
-                engine.restart().await.unwrap();
-                fleet.put_entry(engine, CHAT_SERVICE, "ready");
-                down_since.remove(&number);
-            }
-        }
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    crashes
+    restart_replicas(fleet, &fleet.engines, CHAT_SERVICE, is_over).await
 }
 
 /// Result of requests of one kind: when each was sent, and its status (0: none).
