Refuse requests under which three replicas have ended

What callers saw: one request, sent again under new identifiers, crashed one replica after the other; each crash broke the answers of others. Cause: a crash was attributed to shared parts of prompts only. The last part, requests without a prompt and the tries of one caller were recognized by nothing, half a second of writing cleared an engine's crash, and each process knew its own attempts only. Change: a request is recognized by the fingerprint of what its answer is computed from. A replica that breaks it off and accepts no connection has ended under it. The router reports that to the three holders of the fingerprint before it answers its caller or tries again, tells all routers from the second end on, and refuses the request from the third on (503, blocked_request). The sets of ended incarnations only grow until a complete answer, so that order and loss of messages do not matter; they are listed in the store from the second end on, from the first on within 15 s of a start, and exchanged with two routers a second. While no router acknowledges an end, further ones are assumed. A refused request explains its crashes, so that parts and neighbours are not blamed.

--- a/teaselworks/src/daemon/serve.rs
+++ b/teaselworks/src/daemon/serve.rs
@@ -13,7 +13,9 @@
 use super::page::{self, Page};
 use super::services::{CACHE, METRICS, SHARED, UPDATER, fleet_settings, random_seed, register};
 use super::{ReloadSignal, StartError, reload, stop};
-use crate::discovery::{BlockedPartWriter, PeerFallback, Registrar, StateUpdater, StoreWatcher};
+use crate::discovery::{
+    BlockedPartWriter, EndedRequestWriter, PeerFallback, Registrar, StateUpdater, StoreWatcher,
+};
 use crate::event;
 use crate::kernel::{ServiceRegistry, Shutdown, ShutdownPhase};
 use crate::net;
@@ -121,6 +123,10 @@
     let writer =
         BlockedPartWriter::new(new_store(), shared.clone(), metrics.clone(), random_seed());
     tokio::spawn(writer.run());
+    let writer = EndedRequestWriter::new(new_store(), shared.clone(), metrics.clone());
+    tokio::spawn(writer.run());
+    let ended_shared = shared.clone();
+    tokio::spawn(async move { ended_shared.exchange_ended_requests(random_seed()).await });
     let crash_shared = shared.clone();
     tokio::spawn(async move { crash_shared.exchange_crashes().await });
     if fleet_settings(settings).shares.is_enabled() {
--- a/teaselworks/src/datagram/message.rs
+++ b/teaselworks/src/datagram/message.rs
@@ -84,6 +84,26 @@
         #[serde(rename = "p")]
         part: u64,
     },
+    /// Replicas ended under requests.
+    #[serde(rename = "ends")]
+    RequestEnds {
+        /// Whether the sender observed the ends and asks the receiver for what it knows.
+        #[serde(rename = "q")]
+        is_report: bool,
+        /// What the sender knows.
+        #[serde(rename = "r")]
+        rows: Vec<EndsRow>,
+    },
+    /// A request under which replicas had ended was answered.
+    #[serde(rename = "answered")]
+    RequestAnswered {
+        /// Fingerprint of the request.
+        #[serde(rename = "f")]
+        fingerprint: u64,
+        /// Time since the answered attempt was sent, in milliseconds.
+        #[serde(rename = "a")]
+        sent_age_ms: u32,
+    },
     /// The offered load of a service.
     #[serde(rename = "load")]
     Load(LoadMessage),
@@ -93,6 +113,10 @@
 /// since its replica broke off in milliseconds, and whether answers were lately written on the part.
 pub type CrashRow = (u64, u64, u32, u32, bool);
 
+/// Fingerprint of a request, and for each replica that ended while it ran it the hash of the incarnation
+/// and the times since the request was sent and since the replica ended in milliseconds.
+pub type EndsRow = (u64, Vec<(u64, u32, u32)>);
+
 /// Origin of a stream: the service, and the version of its replica's software.
 pub type PackedOrigin = (Arc<str>, Arc<str>);
 
--- a/teaselworks/src/discovery/mod.rs
+++ b/teaselworks/src/discovery/mod.rs
@@ -1,8 +1,10 @@
 //! Keeps the router's view of the configuration, the upstreams and the other routers up to date
-//! with the platform's store, registers this router there, and writes which parts of prompts are blocked.
+//! with the platform's store, registers this router there, and writes which parts of prompts are blocked
+//! and under which requests replicas ended.
 
 mod blocked_parts;
 mod cache;
+mod ended_requests;
 mod fallback;
 mod registrar;
 mod updater;
@@ -10,6 +12,7 @@
 
 pub use self::blocked_parts::BlockedPartWriter;
 pub use self::cache::{StoreCache, StoreUpdate};
+pub use self::ended_requests::EndedRequestWriter;
 pub use self::fallback::PeerFallback;
 pub use self::registrar::Registrar;
 pub use self::updater::{Source, StateUpdater};
--- a/teaselworks/src/discovery/updater.rs
+++ b/teaselworks/src/discovery/updater.rs
@@ -126,6 +126,9 @@
                 }
                 Ok(ItemValue::Evacuation(zone)) => evacuated_zones.push(zone),
                 Ok(ItemValue::BlockedPart(part)) => blocked_parts.push(part),
+                Ok(ItemValue::EndedRequest(fingerprint, ends)) => {
+                    self.shared.on_listed_ends(fingerprint, &ends);
+                }
                 Ok(ItemValue::Upstream(upstream)) => upstreams.push(ListEntry::Upstream(upstream)),
                 Ok(ItemValue::Router(name, address)) => routers.push((name, address)),
                 Ok(ItemValue::Other) => {}
@@ -198,6 +201,9 @@
                 self.update_evacuations(item.revision, source, |zones| zones.begin(now, &zone));
             }
             Ok(ItemValue::BlockedPart(part)) => self.shared.on_listed_part(part, true),
+            Ok(ItemValue::EndedRequest(fingerprint, ends)) => {
+                self.shared.on_listed_ends(fingerprint, &ends);
+            }
             Ok(ItemValue::Upstream(upstream)) => {
                 let change = self.registry().put(upstream);
                 self.apply_upstream_changes(change.as_slice(), item.revision, source);
@@ -230,6 +236,7 @@
                 self.update_evacuations(revision, source, |zones| zones.end(now, zone));
             }
             KeyKind::BlockedPart(part) => self.shared.on_listed_part(part, false),
+            KeyKind::EndedRequest(fingerprint) => self.shared.on_unlisted_ends(fingerprint),
             KeyKind::Configuration | KeyKind::Other => {}
         }
     }
--- a/teaselworks/src/metrics.rs
+++ b/teaselworks/src/metrics.rs
@@ -116,6 +116,8 @@
     stream_lookups: Counter<u64>,
     suspected_parts: Counter<u64>,
     broken_attempts: Counter<u64>,
+    ended_replicas: Counter<u64>,
+    blocked_requests: Gauge<u64>,
     blocked_parts: UpDownCounter<i64>,
     in_progress: UpDownCounter<i64>,
     routers: Gauge<u64>,
@@ -200,6 +202,15 @@
                 "teaselworks_broken_attempts",
                 "Attempts that an upstream broke off, by what that is attributed to.",
             ),
+            ended_replicas: counter(
+                &meter,
+                "teaselworks_ended_replicas",
+                "Attempts whose upstream ended while it ran them.",
+            ),
+            blocked_requests: meter
+                .u64_gauge("teaselworks_blocked_requests")
+                .with_description("Requests that are refused since upstreams ended under them.")
+                .build(),
             blocked_parts: meter
                 .i64_up_down_counter("teaselworks_blocked_parts")
                 .with_description("Parts of prompts whose requests are refused.")
@@ -276,6 +287,16 @@
         self.broken_attempts.add(1, &[KeyValue::new("attribution", attribution.as_str())]);
     }
 
+    /// Counts an attempt whose upstream ended while it ran it.
+    pub fn add_ended_replica(&self) {
+        self.ended_replicas.add(1, &[]);
+    }
+
+    /// Sets the number of requests that are refused since upstreams ended under them.
+    pub fn set_blocked_requests(&self, count: usize) {
+        self.blocked_requests.record(count as u64, &[]);
+    }
+
     /// Adds to the number of blocked parts of prompts.
     pub fn add_blocked_parts(&self, change: i64) {
         self.blocked_parts.add(change, &[]);
@@ -292,6 +313,8 @@
         self.evacuated_zones.add(0, &[]);
         self.blocked_parts.add(0, &[]);
         self.suspected_parts.add(0, &[]);
+        self.ended_replicas.add(0, &[]);
+        self.set_blocked_requests(0);
         for attribution in CrashAttribution::ALL {
             let label = KeyValue::new("attribution", attribution.as_str());
             self.broken_attempts.add(0, &[label]);
--- a/teaselworks/src/platform/item.rs
+++ b/teaselworks/src/platform/item.rs
@@ -16,6 +16,8 @@
 const EVACUATION_KEY_PREFIX: &str = "op/evacuate/";
 /// Prefix of the keys of blocked parts of prompts.
 const BLOCKED_PART_KEY_PREFIX: &str = "blocked-parts/";
+/// Prefix of the keys of requests under which replicas ended.
+const ENDED_REQUEST_KEY_PREFIX: &str = "ended-requests/";
 /// Prefix of the keys of upstreams.
 const UPSTREAM_KEY_PREFIX: &str = "servers/";
 
@@ -39,6 +41,8 @@
     Evacuation(&'a str),
     /// The part of prompts with this identifier, which is blocked as long as the key exists.
     BlockedPart(u64),
+    /// The request with this fingerprint, under which replicas ended.
+    EndedRequest(u64),
     /// The upstream with this identifier.
     Upstream(&'a str),
     /// The router with this name.
@@ -58,6 +62,35 @@
     format!("{BLOCKED_PART_KEY_PREFIX}{part:x}")
 }
 
+/// Returns the store key of a request under which replicas ended.
+///
+/// ```
+/// use teaselworks::platform::{KeyKind, classify_key, ended_request_key};
+///
+/// assert_eq!(classify_key(&ended_request_key(0xbad)), KeyKind::EndedRequest(0xbad));
+/// ```
+pub fn ended_request_key(fingerprint: u64) -> String {
+    format!("{ENDED_REQUEST_KEY_PREFIX}{fingerprint:x}")
+}
+
+/// Returns the value of such a key: the hashes of the incarnations that ended, in hexadecimal.
+///
+/// ```
+/// use teaselworks::platform::encode_ends;
+///
+/// assert_eq!(encode_ends([1, 0xbad]), b"1,bad");
+/// ```
+pub fn encode_ends(incarnations: impl IntoIterator<Item = u64>) -> Vec<u8> {
+    let names: Vec<String> = incarnations.into_iter().map(|hash| format!("{hash:x}")).collect();
+    names.join(",").into_bytes()
+}
+
+/// Returns the incarnations that a value names, without what is not one.
+fn decode_ends(value: &[u8]) -> Vec<u64> {
+    let text = String::from_utf8_lossy(value);
+    text.split(',').filter_map(|hash| u64::from_str_radix(hash, 16).ok()).collect()
+}
+
 /// Returns the kind of entry that a key names.
 ///
 /// ```
@@ -77,6 +110,9 @@
     if let Some(part) = key.strip_prefix(BLOCKED_PART_KEY_PREFIX) {
         return u64::from_str_radix(part, 16).map_or(KeyKind::Other, KeyKind::BlockedPart);
     }
+    if let Some(hash) = key.strip_prefix(ENDED_REQUEST_KEY_PREFIX) {
+        return u64::from_str_radix(hash, 16).map_or(KeyKind::Other, KeyKind::EndedRequest);
+    }
     if let Some(id) = key.strip_prefix(UPSTREAM_KEY_PREFIX) {
         return KeyKind::Upstream(id);
     }
@@ -95,6 +131,8 @@
     Evacuation(Arc<str>),
     /// The identifier of a blocked part of prompts.
     BlockedPart(u64),
+    /// Fingerprint of a request, and the incarnations that ended while they ran it.
+    EndedRequest(u64, Vec<u64>),
     /// An upstream.
     Upstream(Upstream),
     /// Name of a router, and the address at which other routers reach it.
@@ -114,6 +152,10 @@
         // The key alone says that the zone is evacuated, whatever its value.
         KeyKind::Evacuation(zone) => return Ok(ItemValue::Evacuation(zone.into())),
         KeyKind::BlockedPart(part) => return Ok(ItemValue::BlockedPart(part)),
+        KeyKind::EndedRequest(fingerprint) => {
+            let ends = item.value.as_deref().map(decode_ends).unwrap_or_default();
+            return Ok(ItemValue::EndedRequest(fingerprint, ends));
+        }
         KeyKind::Configuration | KeyKind::Upstream(_) | KeyKind::Router(_) => {}
     }
     let Some(value) = &item.value else {
@@ -123,6 +165,9 @@
         KeyKind::Configuration => ItemValue::Configuration(Box::new(configuration::decode(value)?)),
         KeyKind::Upstream(id) => ItemValue::Upstream(upstream::decode(id, value)?),
         KeyKind::Router(name) => ItemValue::Router(name.into(), registration::decode(value)?),
-        KeyKind::Evacuation(_) | KeyKind::BlockedPart(_) | KeyKind::Other => ItemValue::Other,
+        KeyKind::Evacuation(_)
+        | KeyKind::BlockedPart(_)
+        | KeyKind::EndedRequest(_)
+        | KeyKind::Other => ItemValue::Other,
     })
 }
--- a/teaselworks/src/platform/mod.rs
+++ b/teaselworks/src/platform/mod.rs
@@ -13,7 +13,10 @@
 mod wire;
 
 pub use self::error::{DecodeError, StoreError};
-pub use self::item::{Item, ItemValue, KeyKind, blocked_part_key, classify_key, decode_item};
+pub use self::item::{
+    Item, ItemValue, KeyKind, blocked_part_key, classify_key, decode_item, encode_ends,
+    ended_request_key,
+};
 pub use self::registration::{registration_key, registration_value};
 pub use self::store::{ItemChange, Lease, Snapshot, Store, WatchResult};
 
--- a/teaselworks/src/platform/store.rs
+++ b/teaselworks/src/platform/store.rs
@@ -230,8 +230,21 @@
 
     /// Writes a key under a lease; returns `false` if the lease no longer exists.
     pub async fn put(&mut self, key: &str, value: &[u8], lease: Lease) -> Result<bool, StoreError> {
-        let put = WirePut { key, value: STANDARD.encode(value), lease: lease.id };
-        let body = json!({ "expect": [], "puts": [put], "remove": [] });
+        self.put_all(&[(key.to_owned(), value.to_owned())], lease).await
+    }
+
+    /// Writes up to 32 keys with their values under a lease, all or none; returns `false` if the lease
+    /// no longer exists.
+    pub async fn put_all(
+        &mut self,
+        items: &[(String, Vec<u8>)],
+        lease: Lease,
+    ) -> Result<bool, StoreError> {
+        let put = |(key, value): &(String, Vec<u8>)| {
+            json!(WirePut { key, value: STANDARD.encode(value), lease: lease.id })
+        };
+        let puts: Vec<serde_json::Value> = items.iter().map(put).collect();
+        let body = json!({ "expect": [], "puts": puts, "remove": [] });
         match self.post("/kv-txn", &body).await {
             Ok(_) => Ok(true),
             Err(StoreError::Status(404)) => Ok(false),
@@ -241,7 +254,12 @@
 
     /// Removes a key; one that does not exist is no error.
     pub async fn remove(&mut self, key: &str) -> Result<(), StoreError> {
-        let body = json!({ "expect": [], "puts": [], "remove": [key] });
+        self.remove_all(&[key.to_owned()]).await
+    }
+
+    /// Removes up to 32 keys; one that does not exist is no error.
+    pub async fn remove_all(&mut self, keys: &[String]) -> Result<(), StoreError> {
+        let body = json!({ "expect": [], "puts": [], "remove": keys });
         self.post("/kv-txn", &body).await.map(|_| ())
     }
 
--- a/teaselworks/src/relay/crashes.rs
+++ b/teaselworks/src/relay/crashes.rs
@@ -156,6 +156,8 @@
             Message::StreamBegan { .. }
             | Message::StreamQuery { .. }
             | Message::StreamAnswer { .. }
+            | Message::RequestEnds { .. }
+            | Message::RequestAnswered { .. }
             | Message::Load(_) => {}
         }
         drop(fleet);
--- a/teaselworks/src/relay/dispatch.rs
+++ b/teaselworks/src/relay/dispatch.rs
@@ -42,6 +42,9 @@
         if self.prepared.deadline.remaining(now).is_zero() {
             return Err(self.unsent(RefusalReason::Deadline));
         }
+        let max_retry_after = self.prepared.deadline.max_retry_after(now);
+        let (id, fingerprint) = (&self.prepared.metadata.id, self.prepared.fingerprint);
+        self.shared.admit_fingerprint(id, fingerprint, max_retry_after)?;
         if !self.shared.fleet().needs_detour(now, &self.prepared.service) {
             let dispatched = self.send_to_replica(resumed_after).await?;
             if !self.has_failed_for_link(&dispatched) {
--- /dev/null
+++ b/teaselworks/src/relay/ended_requests.rs
@@ -0,0 +1,315 @@
+//! Finds out whether a replica that broke off a request has ended, and exchanges with other routers
+//! under which requests replicas ended.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_pcg::Pcg32;
+use teaselworks_policy::crash::{ACKNOWLEDGEMENT_TIME, BlockedRequest, ReplicaEnd};
+use teaselworks_policy::upstream::Incarnation;
+use teaselworks_policy::verdict::Refusal;
+
+use super::Shared;
+use crate::datagram::{EndsRow, Message};
+use crate::event;
+
+/// Time to open a connection to a replica that broke off a request. One that takes longer counts as
+/// ended.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time between two rounds in which ends without an acknowledgement are reported again.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of these rounds after which some other routers get all that is known.
+const ROUNDS_PER_EXCHANGE: u32 = 4;
+/// Number of routers that get it.
+const EXCHANGE_PEERS: usize = 2;
+/// Maximum number of requests in a datagram.
+const MAX_ROWS: usize = 8;
+
+impl Shared {
+    /// Returns whether a replica that broke off a request has ended: it refuses connections, or none
+    /// can be opened although this router's link to the service is up.
+    pub(super) async fn has_ended(
+        &self,
+        service: &Arc<str>,
+        incarnation: &Incarnation,
+        request: &str,
+    ) -> bool {
+        if self.fleet().crashes.requests.has_ended(incarnation.hash()) {
+            return true;
+        }
+        let opening = self.open_connection(service, incarnation, request);
+        match tokio::time::timeout(PROBE_TIMEOUT, opening).await {
+            Ok(Ok(connection)) => {
+                connection.release(self.now());
+                false
+            }
+            // The machine answers, so that the link is not the cause.
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => true,
+            Ok(Err(_)) | Err(_) => !self.fleet().is_link_down(service),
+        }
+    }
+
+    /// Records that a replica ended while it ran a request, and reports that to the routers that
+    /// remember it. Returns once one of them has acknowledged it, or after [`ACKNOWLEDGEMENT_TIME`].
+    pub(super) async fn on_replica_ended(&self, fingerprint: u64, end: ReplicaEnd) {
+        let now = self.now();
+        let is_blocked = {
+            let mut fleet = self.fleet();
+            let has_peers = !fleet.membership.holders(fingerprint).is_empty();
+            fleet.crashes.on_ended(now, fingerprint, end, has_peers)
+        };
+        self.metrics.add_ended_replica();
+        if is_blocked {
+            self.log_ended(fingerprint, "crash");
+        }
+        self.report_ends(fingerprint);
+        self.announce(fingerprint);
+        self.ended_noticed.notify_one();
+        let deadline = tokio::time::Instant::now() + ACKNOWLEDGEMENT_TIME;
+        loop {
+            let acknowledged = self.end_acknowledged.notified();
+            if !self.fleet().crashes.requests.is_unacknowledged(fingerprint) {
+                break;
+            }
+            if tokio::time::timeout_at(deadline, acknowledged).await.is_err() {
+                break;
+            }
+        }
+        self.announce(fingerprint);
+        self.list_ends(fingerprint);
+    }
+
+    /// Records that an attempt which was sent at `sent_at` was answered completely.
+    pub(super) fn on_request_answered(&self, fingerprint: u64, sent_at: Duration) {
+        let now = self.now();
+        let (is_listed, peers) = {
+            let mut fleet = self.fleet();
+            let requests = &mut fleet.crashes.requests;
+            let is_listed = requests.is_listed(fingerprint);
+            if !requests.on_answered(now, fingerprint, sent_at) {
+                return;
+            }
+            (is_listed, fleet.membership.listed_addresses())
+        };
+        log_released(fingerprint, "answer");
+        let sent_age_ms = age_ms(now, sent_at);
+        self.datagrams.send(&Message::RequestAnswered { fingerprint, sent_age_ms }, &peers);
+        if is_listed {
+            self.list_change(fingerprint);
+        }
+        self.count_blocked_requests();
+    }
+
+    /// Refuses a request under which too many replicas have ended, or may have.
+    pub(super) fn admit_fingerprint(
+        &self,
+        request: &str,
+        fingerprint: u64,
+        max_retry_after: Duration,
+    ) -> Result<(), Refusal> {
+        let now = self.now();
+        let admitted = self.fleet().admit_fingerprint(now, fingerprint, max_retry_after);
+        let Err((refusal, blocked)) = admitted else { return Ok(()) };
+        let BlockedRequest { ended, is_confirmed, .. } = blocked;
+        event::REQUEST_BLOCKED.log(&[
+            event::text("request", &request),
+            event::text("fingerprint", &format_args!("{fingerprint:x}")),
+            event::number("ended", ended as u64),
+            event::text("is_confirmed", &is_confirmed),
+        ]);
+        Err(refusal)
+    }
+
+    /// Handles a message of another router about requests.
+    pub(super) fn on_request_message(&self, message: Message, sender: SocketAddr) {
+        let now = self.now();
+        match message {
+            Message::RequestEnds { is_report, rows } => {
+                for (fingerprint, ends) in &rows {
+                    self.on_ends(*fingerprint, ends, sender, is_report);
+                }
+                if is_report {
+                    let known: Vec<u64> =
+                        rows.iter().map(|(fingerprint, _)| *fingerprint).collect();
+                    self.send_ends(&known, false, &[sender]);
+                } else {
+                    self.end_acknowledged.notify_waiters();
+                }
+            }
+            Message::RequestAnswered { fingerprint, sent_age_ms } => {
+                let sent_at = now.saturating_sub(Duration::from_millis(sent_age_ms.into()));
+                if self.fleet().crashes.requests.on_answered(now, fingerprint, sent_at) {
+                    log_released(fingerprint, "router");
+                    self.count_blocked_requests();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Adds the ends that another router knows of. A message that is not a report answers one, or
+    /// tells what its sender knows in any case.
+    fn on_ends(
+        &self,
+        fingerprint: u64,
+        ends: &[(u64, u32, u32)],
+        sender: SocketAddr,
+        is_report: bool,
+    ) {
+        let now = self.now();
+        let at = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
+        let end = |(incarnation, sent_age_ms, ended_age_ms): &(u64, u32, u32)| ReplicaEnd {
+            incarnation: *incarnation,
+            sent_at: at(*sent_age_ms),
+            ended_at: at(*ended_age_ms),
+        };
+        let ends: Vec<ReplicaEnd> = ends.iter().map(end).collect();
+        let is_blocked = {
+            let mut fleet = self.fleet();
+            let is_blocked = fleet.crashes.merge_ends(now, fingerprint, &ends);
+            if !is_report {
+                fleet.crashes.requests.on_acknowledged(fingerprint);
+            }
+            is_blocked
+        };
+        if is_blocked {
+            self.log_ended(fingerprint, &format!("router {sender}"));
+        }
+        self.ended_noticed.notify_one();
+    }
+
+    /// Records that the store lists the ends of a request.
+    pub fn on_listed_ends(&self, fingerprint: u64, incarnations: &[u64]) {
+        let now = self.now();
+        if self.fleet().crashes.on_listed_ends(now, fingerprint, incarnations) {
+            self.log_ended(fingerprint, "store");
+        }
+        self.ended_noticed.notify_one();
+    }
+
+    /// Records that the store no longer lists a request.
+    pub fn on_unlisted_ends(&self, fingerprint: u64) {
+        if self.fleet().crashes.requests.on_unlisted(fingerprint) {
+            log_released(fingerprint, "store");
+        }
+        self.count_blocked_requests();
+    }
+
+    /// Reports ends again that no router has acknowledged, and tells some other routers of all requests
+    /// that each is to know, until the process ends. A router that was cut off, or has just started,
+    /// learns from that what it missed.
+    pub async fn exchange_ended_requests(&self, seed: u64) {
+        let mut random = Pcg32::seed_from_u64(seed);
+        let mut round = 0_u32;
+        loop {
+            if self.fleet().crashes.requests.is_empty() {
+                self.ended_noticed.notified().await;
+            }
+            tokio::time::sleep(REPORT_INTERVAL).await;
+            round = round.wrapping_add(1);
+            let unacknowledged = self.fleet().crashes.requests.unacknowledged();
+            for fingerprint in unacknowledged {
+                self.report_ends(fingerprint);
+            }
+            if !round.is_multiple_of(ROUNDS_PER_EXCHANGE) {
+                continue;
+            }
+            let (announced, peers) = {
+                let mut fleet = self.fleet();
+                fleet.crashes.requests.expire(self.now());
+                (fleet.crashes.requests.announced(), fleet.membership.listed_addresses())
+            };
+            self.count_blocked_requests();
+            let rows: Vec<u64> = announced.sample(&mut random, MAX_ROWS).copied().collect();
+            let peers: Vec<SocketAddr> =
+                peers.sample(&mut random, EXCHANGE_PEERS).copied().collect();
+            self.send_ends(&rows, false, &peers);
+        }
+    }
+
+    /// Reports the ends of a request to the routers that remember them. Without such a router, nothing
+    /// else can be known of the request.
+    fn report_ends(&self, fingerprint: u64) {
+        let holders = self.fleet().membership.holders(fingerprint);
+        if holders.is_empty() {
+            self.fleet().crashes.requests.on_acknowledged(fingerprint);
+        }
+        self.send_ends(&[fingerprint], true, &holders);
+    }
+
+    /// Tells all routers of a request if enough replicas ended under it.
+    fn announce(&self, fingerprint: u64) {
+        let peers = {
+            let mut fleet = self.fleet();
+            let is_due = fleet.crashes.requests.take_announcement(fingerprint);
+            if !is_due {
+                return;
+            }
+            fleet.membership.listed_addresses()
+        };
+        self.send_ends(&[fingerprint], false, &peers);
+    }
+
+    fn send_ends(&self, fingerprints: &[u64], is_report: bool, addresses: &[SocketAddr]) {
+        if addresses.is_empty() || fingerprints.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let rows: Vec<EndsRow> = {
+            let fleet = self.fleet();
+            let row = |fingerprint: &u64| {
+                let ends = fleet.crashes.requests.ends(*fingerprint).iter();
+                let ends = ends.map(|end| {
+                    (end.incarnation, age_ms(now, end.sent_at), age_ms(now, end.ended_at))
+                });
+                (*fingerprint, ends.collect())
+            };
+            fingerprints.iter().take(MAX_ROWS).map(row).collect()
+        };
+        self.datagrams.send(&Message::RequestEnds { is_report, rows }, addresses);
+    }
+
+    /// Has the store list the ends of a request if a router that starts needs to know of them.
+    fn list_ends(&self, fingerprint: u64) {
+        let age = self.age();
+        if self.fleet().crashes.requests.needs_listing(fingerprint, age) {
+            self.list_change(fingerprint);
+        }
+    }
+
+    fn list_change(&self, fingerprint: u64) {
+        // Where more changes wait than the channel can buffer, the other routers still have the
+        // datagrams.
+        let _ = self.request_changes.try_send(fingerprint);
+    }
+
+    fn log_ended(&self, fingerprint: u64, source: &str) {
+        let ended = self.fleet().crashes.requests.ends(fingerprint).len();
+        self.count_blocked_requests();
+        event::ENDED_LIMIT_REACHED.log(&[
+            event::text("fingerprint", &format_args!("{fingerprint:x}")),
+            event::number("ended", ended as u64),
+            event::text("source", &source),
+        ]);
+    }
+
+    fn count_blocked_requests(&self) {
+        let count = self.fleet().crashes.requests.blocked_count();
+        self.metrics.set_blocked_requests(count);
+    }
+}
+
+fn age_ms(now: Duration, at: Duration) -> u32 {
+    now.saturating_sub(at).as_millis().try_into().unwrap_or(u32::MAX)
+}
+
+fn log_released(fingerprint: u64, source: &str) {
+    event::ENDS_REFUTED.log(&[
+        event::text("fingerprint", &format_args!("{fingerprint:x}")),
+        event::text("source", &source),
+    ]);
+}
--- a/teaselworks/src/relay/in_flight.rs
+++ b/teaselworks/src/relay/in_flight.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use teaselworks_policy::crash::{SharedParts, WRITING_TIME};
+use teaselworks_policy::crash::{ReplicaEnd, SharedParts, WRITING_TIME};
 use teaselworks_policy::placement::Placement;
 use teaselworks_policy::upstream::{Incarnation, LoadReport, RequestOutcome};
 
@@ -117,6 +117,9 @@
     /// gave the whole answer.
     pub(super) fn on_complete(&mut self, request: &PreparedRequest) {
         self.set_outcome(RequestOutcome::Answered);
+        if let Some(request) = &self.request {
+            self.shared.on_request_answered(request.fingerprint, self.started_at);
+        }
         if self.is_at_router || self.is_resumed {
             return;
         }
@@ -128,12 +131,22 @@
 
     /// Records that the upstream broke off, which a part of the prompt may have caused if the answer
     /// had not been written for a while.
-    pub(super) fn on_broken(&self) {
+    ///
+    /// If the replica has ended, that counts against the request, whatever was written. Returns once
+    /// another router remembers that, so that it precedes the next attempt of this router or the caller.
+    pub(super) async fn on_broken(&self) {
         let Some(request) = &self.request else { return };
         let attribution = self.attribution(request);
-        self.log_broken(request, attribution);
+        let broken_at = self.shared.now();
+        let has_ended = self.shared.has_ended(&self.service, &self.incarnation, &request.id).await;
+        self.log_broken(request, attribution, has_ended);
+        let incarnation = self.incarnation.hash();
         if let (Some(parts), CrashAttribution::Parts) = (&request.parts, attribution) {
-            self.shared.on_crashed(parts, self.incarnation.hash(), self.started_at);
+            self.shared.on_crashed(parts, incarnation, self.started_at);
+        }
+        if has_ended {
+            let end = ReplicaEnd { incarnation, sent_at: self.started_at, ended_at: broken_at };
+            self.shared.on_replica_ended(request.fingerprint, end).await;
         }
     }
 
@@ -151,7 +164,12 @@
         }
     }
 
-    fn log_broken(&self, request: &RequestIdentity, attribution: CrashAttribution) {
+    fn log_broken(
+        &self,
+        request: &RequestIdentity,
+        attribution: CrashAttribution,
+        has_ended: bool,
+    ) {
         let now = self.shared.now();
         let written = self.first_byte_at.map(|at| now.saturating_sub(at));
         self.shared.metrics.add_broken_attempt(attribution);
@@ -161,6 +179,7 @@
             event::text("upstream", &self.incarnation.id),
             event::text("service", &self.service),
             event::text("attribution", &attribution.as_str()),
+            event::text("has_ended", &has_ended),
             event::number("sent_ms", now.saturating_sub(self.started_at).as_millis() as u64),
             event::text("written_ms", &written.map_or(-1, |time| time.as_millis() as i64)),
         ]);
--- a/teaselworks/src/relay/mod.rs
+++ b/teaselworks/src/relay/mod.rs
@@ -7,6 +7,7 @@
 mod connection_pool;
 mod crashes;
 mod dispatch;
+mod ended_requests;
 mod event_splitter;
 mod forwarded;
 mod in_flight;
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -226,7 +226,7 @@
             Ok(answer) => answer,
             Err(failure) => {
                 if self.is_break(failure) {
-                    in_flight.on_broken();
+                    in_flight.on_broken().await;
                 }
                 in_flight.set_outcome(request_outcome(failure));
                 return AttemptResult::Failed(failure, None);
@@ -267,7 +267,7 @@
                 Ok(None) if !answer.connection.was_aborted() => break,
                 Ok(None | Some(Err(_))) | Err(_) => {
                     if self.is_break(Failure::Broken) {
-                        in_flight.on_broken();
+                        in_flight.on_broken().await;
                     }
                     in_flight.set_outcome(RequestOutcome::NoAnswer);
                     return AttemptResult::Failed(Failure::Broken, None);
--- a/teaselworks/src/relay/shared.rs
+++ b/teaselworks/src/relay/shared.rs
@@ -30,6 +30,9 @@
 /// Maximum number of changes of the blocked parts that wait to be written to the store.
 const MAX_PART_CHANGES: usize = 64;
 
+/// Maximum number of requests whose ended replicas wait to be written to the store.
+const MAX_REQUEST_CHANGES: usize = 256;
+
 /// State and services that every request uses.
 pub struct Shared {
     /// Clock that all times of requests are read from.
@@ -51,6 +54,13 @@
     /// Changes of the blocked parts that the store is to hold.
     pub(super) part_changes: mpsc::Sender<PartChange>,
     part_change_receiver: Mutex<Option<mpsc::Receiver<PartChange>>>,
+    /// Notified when replicas ended under a request, as seen here, by another router or in the store.
+    pub(super) ended_noticed: Notify,
+    /// Notified when another router has acknowledged such ends.
+    pub(super) end_acknowledged: Notify,
+    /// Fingerprints of requests of which the store is to hold what is known.
+    pub(super) request_changes: mpsc::Sender<u64>,
+    request_change_receiver: Mutex<Option<mpsc::Receiver<u64>>>,
     /// Exchange of offered load with other routers.
     pub(super) load_exchange: LoadExchange,
     fleet: Mutex<Fleet>,
@@ -75,6 +85,7 @@
         let fleet = Mutex::new(fleet);
         let configuration_set = Notify::new();
         let (part_changes, part_change_receiver) = mpsc::channel(MAX_PART_CHANGES);
+        let (request_changes, request_change_receiver) = mpsc::channel(MAX_REQUEST_CHANGES);
         Self {
             clock,
             metrics,
@@ -86,6 +97,10 @@
             crash_noticed: Notify::new(),
             part_changes,
             part_change_receiver: Mutex::new(Some(part_change_receiver)),
+            ended_noticed: Notify::new(),
+            end_acknowledged: Notify::new(),
+            request_changes,
+            request_change_receiver: Mutex::new(Some(request_change_receiver)),
             load_exchange: LoadExchange::default(),
             fleet,
             started_at,
@@ -123,6 +138,17 @@
         self.part_change_receiver.lock().expect("part change lock is never poisoned").take()
     }
 
+    /// Returns the fingerprints of requests of which the store is to hold what is known; `None` if they
+    /// were taken before.
+    pub fn take_request_changes(&self) -> Option<mpsc::Receiver<u64>> {
+        self.request_change_receiver.lock().expect("request change lock is never poisoned").take()
+    }
+
+    /// Returns the time since the router started.
+    pub(super) fn age(&self) -> Duration {
+        self.now().saturating_sub(self.started_at)
+    }
+
     /// Returns the time of the monotonic clock.
     pub fn now(&self) -> Duration {
         self.clock.monotonic()
--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -233,7 +233,7 @@
         // Closes the connection, so that the old upstream stops before another one resumes.
         if let Some(mut source) = self.source.take() {
             if self.request_state.is_break(failure) {
-                source.in_flight.on_broken();
+                source.in_flight.on_broken().await;
             }
             source.in_flight.set_outcome(RequestOutcome::NoAnswer);
         }
@@ -254,7 +254,7 @@
                 }
                 Err(attempt_failure) => {
                     if self.request_state.is_break(attempt_failure) {
-                        in_flight.on_broken();
+                        in_flight.on_broken().await;
                     }
                     in_flight.set_outcome(request_outcome(attempt_failure));
                     failure = attempt_failure;
--- a/teaselworks/src/relay/stream_origins.rs
+++ b/teaselworks/src/relay/stream_origins.rs
@@ -96,6 +96,9 @@
                 self.datagrams.answer(stream, origin.as_deref(), sender);
             }
             Message::Load(message) => self.on_load_message(message, sender),
+            message @ (Message::RequestEnds { .. } | Message::RequestAnswered { .. }) => {
+                self.on_request_message(message, sender);
+            }
             message => self.on_part_message(message),
         }
     }
--- a/teaselworks_policy/src/crash/mod.rs
+++ b/teaselworks_policy/src/crash/mod.rs
@@ -6,9 +6,11 @@
 //! crashes for that, so that routers report them to a few others, the holders of the part, which
 //! decide.
 
+mod answered;
 mod blocked;
 mod fingerprint;
 mod proof;
+mod requests;
 mod suspicion;
 
 use std::collections::{HashMap, HashSet};
@@ -18,6 +20,10 @@
 pub use self::blocked::{BLOCK_TIME, BlockedParts};
 pub use self::fingerprint::{RequestContent, body_hash};
 use self::proof::ProvenParts;
+pub use self::requests::{
+    ACKNOWLEDGEMENT_TIME, ANNOUNCED_ENDS, BlockedRequest, MAX_ENDED_REPLICAS, REQUEST_MEMORY,
+    ReplicaEnd, RequestLedger,
+};
 use self::suspicion::Suspicion;
 
 /// Time for which an answer must have been written to speak for the parts of its prompt. A replica that
@@ -92,6 +98,8 @@
 pub struct CrashLedger {
     /// Parts that get no requests.
     pub blocked: BlockedParts,
+    /// Requests under which replicas ended.
+    pub requests: RequestLedger,
     suspicions: HashMap<u64, Suspicion>,
     proven: ProvenParts,
     /// Parts that another router suspects, with the clock readings of the first crash and of the
@@ -200,6 +208,48 @@
         self.suspicions.remove(&part);
         self.watched.remove(&part);
         self.explain(crashes);
+        self.requests.explain(&crashes.iter().copied().collect());
+    }
+
+    /// Records that replicas ended under a request of this router. Returns whether it is refused from
+    /// now on.
+    pub fn on_ended(
+        &mut self,
+        now: Duration,
+        fingerprint: u64,
+        end: ReplicaEnd,
+        has_peers: bool,
+    ) -> bool {
+        let was_blocked = self.requests.has_reached_limit(fingerprint);
+        self.requests.on_ended(now, fingerprint, end, has_peers);
+        self.explain_if_blocked(fingerprint, was_blocked)
+    }
+
+    /// Adds ends that another router knows of. Returns whether the request is refused from now on.
+    pub fn merge_ends(&mut self, now: Duration, fingerprint: u64, ends: &[ReplicaEnd]) -> bool {
+        let was_blocked = self.requests.has_reached_limit(fingerprint);
+        self.requests.merge(now, fingerprint, ends);
+        self.explain_if_blocked(fingerprint, was_blocked)
+    }
+
+    /// Adds ends that the store lists. Returns whether the request is refused from now on.
+    pub fn on_listed_ends(&mut self, now: Duration, fingerprint: u64, ends: &[u64]) -> bool {
+        let was_blocked = self.requests.has_reached_limit(fingerprint);
+        self.requests.on_listed(now, fingerprint, ends);
+        self.explain_if_blocked(fingerprint, was_blocked)
+    }
+
+    /// A request that is refused explains the ends of its replicas, so that neither the parts of its
+    /// prompt nor what ran beside it are blamed for them.
+    fn explain_if_blocked(&mut self, fingerprint: u64, was_blocked: bool) -> bool {
+        if was_blocked || !self.requests.has_reached_limit(fingerprint) {
+            return false;
+        }
+        let ends = self.requests.ends(fingerprint);
+        let incarnations: Vec<u64> = ends.iter().map(|end| end.incarnation).collect();
+        self.explain(&incarnations);
+        self.requests.explain(&incarnations.iter().copied().collect());
+        true
     }
 
     /// Returns whether [`CrashLedger::tick`] has something to do now or soon.
--- /dev/null
+++ b/teaselworks_policy/src/crash/requests.rs
@@ -0,0 +1,349 @@
+//! Requests under which replicas ended, recognized by their fingerprints.
+//!
+//! Replicas that end while they run a request count against it until one answers it completely. The
+//! routers exchange what they know: the set of the replicas' incarnations only grows until an answer,
+//! so that the order of messages does not matter.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use super::answered::AnsweredRequests;
+
+/// Number of replicas that may end under one request before it is refused.
+pub const MAX_ENDED_REPLICAS: usize = 3;
+/// Number of ended replicas from which all routers are told of a request.
+pub const ANNOUNCED_ENDS: usize = 2;
+/// Time after the last end for which a request is remembered, and refused if it has reached the limit.
+pub const REQUEST_MEMORY: Duration = Duration::from_secs(300);
+/// Time that other routers have to acknowledge an end. Later, ends that only they know of are assumed.
+pub const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(30);
+/// Retry-after time while no other router acknowledges an end.
+const UNACKNOWLEDGED_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time after its start during which a router lists single ends in the store: the routers that would
+/// remember them may be as new.
+const STARTUP_TIME: Duration = Duration::from_secs(15);
+/// Maximum number of requests that are remembered.
+const MAX_REQUESTS: usize = 4_096;
+/// Maximum number of ends that are remembered for a request.
+const MAX_ENDS: usize = 6;
+/// Maximum number of replicas that are remembered as ended.
+const MAX_ENDED: usize = 1_024;
+
+/// The end of a replica that ran a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReplicaEnd {
+    /// Hash of the replica's incarnation.
+    pub incarnation: u64,
+    /// Clock reading at which the request was sent.
+    pub sent_at: Duration,
+    /// Clock reading at which the replica broke it off.
+    pub ended_at: Duration,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BlockedRequest {
+    /// Number of replicas that are known to have ended under it.
+    pub ended: usize,
+    /// Time after which the request may be sent again.
+    pub retry_after: Duration,
+    /// Whether the limit is known to be reached. Otherwise no other router has acknowledged an end, and
+    /// they may know of more.
+    pub is_confirmed: bool,
+}
+
+/// What is known of one request.
+#[derive(Clone, Debug, Default)]
+struct Record {
+    /// Ends in the order in which they became known.
+    ends: Vec<ReplicaEnd>,
+    /// Clock reading of the last change.
+    updated_at: Duration,
+    /// Clock reading of an end at this router that no other one has acknowledged.
+    unacknowledged_since: Option<Duration>,
+    /// Number of ends that this router has told all others of.
+    announced: usize,
+    /// Number of ends that the store lists.
+    listed: usize,
+}
+
+impl Record {
+    /// Returns the number of ends that count.
+    ///
+    /// Several replicas may run equal requests and end together for another reason. Of a request that
+    /// was answered before, only ends of which each followed the one before count.
+    fn count(&self, was_answered: bool) -> usize {
+        if !was_answered {
+            return self.ends.len();
+        }
+        let mut ends = self.ends.clone();
+        ends.sort_unstable_by_key(|end| end.ended_at);
+        let mut last_at = Duration::ZERO;
+        let mut count = 0;
+        for end in ends {
+            if end.sent_at < last_at {
+                continue;
+            }
+            count += 1;
+            last_at = end.ended_at;
+        }
+        count
+    }
+}
+
+/// One router's record of the requests under which replicas ended.
+#[derive(Debug, Default)]
+pub struct RequestLedger {
+    records: HashMap<u64, Record>,
+    answered: AnsweredRequests,
+    /// Incarnations that have ended, by the clock reading at which that was found out.
+    ended: HashMap<u64, Duration>,
+}
+
+impl RequestLedger {
+    /// Records that a replica ended while it ran a request of this router. `has_peers` tells whether
+    /// there are other routers that may know of further ends.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselworks_policy::crash::{ReplicaEnd, RequestLedger};
+    ///
+    /// let mut ledger = RequestLedger::default();
+    /// let now = Duration::from_secs(9);
+    /// for incarnation in 1..=3 {
+    ///     assert!(ledger.blocked(now, 7).is_none());
+    ///     let end = ReplicaEnd { incarnation, sent_at: now, ended_at: now };
+    ///     ledger.on_ended(now, 7, end, false);
+    /// }
+    /// assert!(ledger.blocked(now, 7).is_some());
+    /// ```
+    pub fn on_ended(&mut self, now: Duration, fingerprint: u64, end: ReplicaEnd, has_peers: bool) {
+        self.note_ended(now, end.incarnation);
+        self.merge(now, fingerprint, &[end]);
+        if let Some(record) = self.records.get_mut(&fingerprint).filter(|_| has_peers) {
+            record.unacknowledged_since.get_or_insert(now);
+        }
+    }
+
+    /// Adds ends that another router or the store knows of. Returns whether any was new.
+    pub fn merge(&mut self, now: Duration, fingerprint: u64, ends: &[ReplicaEnd]) -> bool {
+        let answered_at = self.answered.find(fingerprint);
+        let is_refuted = |end: &ReplicaEnd| answered_at.is_some_and(|at| end.ended_at <= at);
+        let mut is_changed = false;
+        for end in ends {
+            let record = self.records.get(&fingerprint);
+            let is_known = record.is_some_and(|record| {
+                record.ends.len() >= MAX_ENDS
+                    || record.ends.iter().any(|known| known.incarnation == end.incarnation)
+            });
+            if is_known || is_refuted(end) || !self.make_room(now, fingerprint) {
+                continue;
+            }
+            let record = self.records.entry(fingerprint).or_default();
+            record.ends.push(*end);
+            record.updated_at = now;
+            is_changed = true;
+        }
+        is_changed
+    }
+
+    /// Records that another router has acknowledged the ends of a request, and has told this one of
+    /// those it knows.
+    pub fn on_acknowledged(&mut self, fingerprint: u64) {
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.unacknowledged_since = None;
+        }
+    }
+
+    /// Records that an attempt which was sent at `sent_at` was answered completely, here or at another
+    /// router: no earlier end was caused by the request. Returns whether any was known.
+    pub fn on_answered(&mut self, now: Duration, fingerprint: u64, sent_at: Duration) -> bool {
+        self.answered.insert(now, fingerprint, sent_at);
+        let Some(record) = self.records.get_mut(&fingerprint) else { return false };
+        let known = record.ends.len();
+        record.ends.retain(|end| end.ended_at > sent_at);
+        let is_refuted = record.ends.len() < known;
+        if record.ends.is_empty() {
+            self.records.remove(&fingerprint);
+        }
+        is_refuted
+    }
+
+    /// Returns whether and why a request is to be refused.
+    pub fn blocked(&self, now: Duration, fingerprint: u64) -> Option<BlockedRequest> {
+        let record = self.records.get(&fingerprint)?;
+        let ended = record.ends.len();
+        if self.has_reached_limit(fingerprint) {
+            let retry_after = (record.updated_at + REQUEST_MEMORY).saturating_sub(now);
+            let is_over = retry_after.is_zero();
+            return (!is_over).then_some(BlockedRequest { ended, retry_after, is_confirmed: true });
+        }
+        let is_unacknowledged = record
+            .unacknowledged_since
+            .is_some_and(|since| now.saturating_sub(since) >= ACKNOWLEDGEMENT_TIME);
+        let retry_after = UNACKNOWLEDGED_RETRY_AFTER;
+        is_unacknowledged.then_some(BlockedRequest { ended, retry_after, is_confirmed: false })
+    }
+
+    /// Returns whether as many replicas as may have ended under a request.
+    pub fn has_reached_limit(&self, fingerprint: u64) -> bool {
+        let was_answered = self.answered.find(fingerprint).is_some();
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|record| record.count(was_answered) >= MAX_ENDED_REPLICAS)
+    }
+
+    /// Returns the number of requests that are refused since the limit is reached.
+    pub fn blocked_count(&self) -> usize {
+        self.records.keys().filter(|fingerprint| self.has_reached_limit(**fingerprint)).count()
+    }
+
+    /// Returns whether a replica is known to have ended.
+    pub fn has_ended(&self, incarnation: u64) -> bool {
+        self.ended.contains_key(&incarnation)
+    }
+
+    /// Returns whether another router has yet to acknowledge an end of a request.
+    pub fn is_unacknowledged(&self, fingerprint: u64) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|record| record.unacknowledged_since.is_some())
+    }
+
+    /// Returns the requests with ends that no other router has acknowledged.
+    pub fn unacknowledged(&self) -> Vec<u64> {
+        let waiting = self.records.iter().filter(|(_, r)| r.unacknowledged_since.is_some());
+        waiting.map(|(fingerprint, _)| *fingerprint).collect()
+    }
+
+    /// Returns the ends of a request.
+    pub fn ends(&self, fingerprint: u64) -> &[ReplicaEnd] {
+        self.records.get(&fingerprint).map_or(&[], |record| &record.ends)
+    }
+
+    /// Returns whether all routers are to be told of a request now, which is then recorded.
+    pub fn take_announcement(&mut self, fingerprint: u64) -> bool {
+        let Some(record) = self.records.get_mut(&fingerprint) else { return false };
+        let ends = record.ends.len();
+        let is_due = ends >= ANNOUNCED_ENDS && ends > record.announced;
+        if is_due {
+            record.announced = ends;
+        }
+        is_due
+    }
+
+    /// Returns the requests of which all routers are to know.
+    pub fn announced(&self) -> Vec<u64> {
+        let known = self.records.iter().filter(|(_, r)| r.ends.len() >= ANNOUNCED_ENDS);
+        known.map(|(fingerprint, _)| *fingerprint).collect()
+    }
+
+    /// Returns whether the store is to list the ends of a request that it does not list yet; `age` is
+    /// the time since this router started.
+    pub fn needs_listing(&self, fingerprint: u64, age: Duration) -> bool {
+        let min_ends = if age < STARTUP_TIME { 1 } else { ANNOUNCED_ENDS };
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|r| r.ends.len() >= min_ends && r.ends.len() > r.listed)
+    }
+
+    /// Records that the store lists ends of a request. The times are not listed, so that the ends
+    /// count as having come one after the other until now. Returns whether any was new.
+    pub fn on_listed(&mut self, now: Duration, fingerprint: u64, incarnations: &[u64]) -> bool {
+        let end = |incarnation: &u64| ReplicaEnd {
+            incarnation: *incarnation,
+            sent_at: now,
+            ended_at: now,
+        };
+        let ends: Vec<ReplicaEnd> = incarnations.iter().map(end).collect();
+        let is_changed = self.merge(now, fingerprint, &ends);
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.listed = record.listed.max(incarnations.len());
+        }
+        is_changed
+    }
+
+    /// Records that the store no longer lists a request. Returns whether it was refused.
+    pub fn on_unlisted(&mut self, fingerprint: u64) -> bool {
+        let was_listed = self.records.get(&fingerprint).is_some_and(|record| record.listed > 0);
+        let was_blocked = was_listed && self.has_reached_limit(fingerprint);
+        if was_listed {
+            self.records.remove(&fingerprint);
+        }
+        was_blocked
+    }
+
+    /// Returns whether the store lists a request.
+    pub fn is_listed(&self, fingerprint: u64) -> bool {
+        self.records.get(&fingerprint).is_some_and(|record| record.listed > 0)
+    }
+
+    /// Takes ends that have another cause from the requests that are not refused for them.
+    pub fn explain(&mut self, incarnations: &HashSet<u64>) {
+        let was_answered: HashSet<u64> = self
+            .records
+            .keys()
+            .copied()
+            .filter(|fingerprint| self.answered.find(*fingerprint).is_some())
+            .collect();
+        self.records.retain(|fingerprint, record| {
+            if record.count(was_answered.contains(fingerprint)) < MAX_ENDED_REPLICAS {
+                record.ends.retain(|end| !incarnations.contains(&end.incarnation));
+            }
+            !record.ends.is_empty()
+        });
+    }
+
+    /// Returns the number of requests that are remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether no request is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Forgets requests whose last end is long ago. One that was refused keeps as many ends as allow
+    /// a single further one.
+    pub fn expire(&mut self, now: Duration) {
+        self.records.retain(|_, record| {
+            if now.saturating_sub(record.updated_at) < REQUEST_MEMORY {
+                return true;
+            }
+            let was_refused = record.ends.len() >= MAX_ENDED_REPLICAS;
+            record.ends.truncate(MAX_ENDED_REPLICAS - 1);
+            record.updated_at = now;
+            was_refused
+        });
+        self.ended.retain(|_, at| now.saturating_sub(*at) < REQUEST_MEMORY);
+    }
+
+    fn note_ended(&mut self, now: Duration, incarnation: u64) {
+        if self.ended.len() >= MAX_ENDED {
+            self.ended.retain(|_, at| now.saturating_sub(*at) < REQUEST_MEMORY / 10);
+        }
+        if self.ended.len() < MAX_ENDED {
+            self.ended.insert(incarnation, now);
+        }
+    }
+
+    /// Returns whether a request can be remembered. Drops the oldest half of those with the fewest ends
+    /// if there are too many.
+    fn make_room(&mut self, now: Duration, fingerprint: u64) -> bool {
+        if self.records.len() < MAX_REQUESTS || self.records.contains_key(&fingerprint) {
+            return true;
+        }
+        self.expire(now);
+        let mut ages: Vec<Duration> = self
+            .records
+            .values()
+            .filter(|record| record.ends.len() < ANNOUNCED_ENDS)
+            .map(|record| record.updated_at)
+            .collect();
+        if ages.is_empty() {
+            return self.records.len() < MAX_REQUESTS;
+        }
+        let middle = ages.len() / 2;
+        let oldest = *ages.select_nth_unstable(middle).1;
+        self.records.retain(|_, r| r.ends.len() >= ANNOUNCED_ENDS || r.updated_at > oldest);
+        self.records.len() < MAX_REQUESTS
+    }
+}
--- a/teaselworks_policy/src/verdict.rs
+++ b/teaselworks_policy/src/verdict.rs
@@ -66,6 +66,8 @@
     UnknownStream,
     /// A part of the prompt crashes the replicas that begin to write an answer on it.
     BlockedPart,
+    /// As many replicas as may have ended while they ran the same request.
+    BlockedRequest,
     /// No replica can be chosen, and some have asked this router for rest.
     Resting,
     /// No replica can be chosen, and the operator has evacuated the zones of some.
@@ -107,7 +109,7 @@
 
 impl RefusalReason {
     /// All reasons, in the order in which the metrics list them.
-    pub const ALL: [RefusalReason; 23] = [
+    pub const ALL: [RefusalReason; 24] = [
         RefusalReason::NoConfiguration,
         RefusalReason::Malformed,
         RefusalReason::UnknownRoute,
@@ -117,6 +119,7 @@
         RefusalReason::NoReplica,
         RefusalReason::UnknownStream,
         RefusalReason::BlockedPart,
+        RefusalReason::BlockedRequest,
         RefusalReason::Resting,
         RefusalReason::Evacuated,
         RefusalReason::Cold,
@@ -163,6 +166,7 @@
             RefusalReason::NoReplica => "no_replica",
             RefusalReason::UnknownStream => "unknown_stream",
             RefusalReason::BlockedPart => "blocked_part",
+            RefusalReason::BlockedRequest => "blocked_request",
             RefusalReason::Resting => "resting",
             RefusalReason::Evacuated => "evacuated",
             RefusalReason::Cold => "cold",
@@ -271,6 +275,7 @@
             | RefusalReason::NoReplica
             | RefusalReason::UnknownStream
             | RefusalReason::BlockedPart
+            | RefusalReason::BlockedRequest
             | RefusalReason::Resting
             | RefusalReason::Evacuated
             | RefusalReason::Cold
