The limit on ended replicas holds while routers are killed, out of touch, unlisted or new

Change: a router that starts asks others for what they know; ends are reported to holders that are no longer listed as well, since registrations may have lapsed; a replica behind a proxy counts as ended if the proxy closes the connection; an answer that begins after an end shows that the replica had started again; what follows from an end is recorded even if the caller leaves.

--- a/teaselworks/src/datagram/message.rs
+++ b/teaselworks/src/datagram/message.rs
@@ -113,9 +113,12 @@
 /// since its replica broke off in milliseconds, and whether answers were lately written on the part.
 pub type CrashRow = (u64, u64, u32, u32, bool);
 
-/// Fingerprint of a request, and for each replica that ended while it ran it the hash of the incarnation
-/// and the times since the request was sent and since the replica ended in milliseconds.
-pub type EndsRow = (u64, Vec<(u64, u32, u32)>);
+/// Fingerprint of a request, and the ends of replicas that ran it.
+pub type EndsRow = (u64, Vec<EndRow>);
+
+/// Hash of the incarnation that ended, the times since the request was sent and since the replica ended in
+/// milliseconds, and whether its answer had begun.
+pub type EndRow = (u64, u32, u32, bool);
 
 /// Origin of a stream: the service, and the version of its replica's software.
 pub type PackedOrigin = (Arc<str>, Arc<str>);
--- a/teaselworks/src/datagram/mod.rs
+++ b/teaselworks/src/datagram/mod.rs
@@ -9,5 +9,5 @@
 mod port;
 
 pub use self::load_message::{LoadMessage, LoadRow};
-pub use self::message::{CrashRow, EndsRow, Message, decode_message, encode_message};
+pub use self::message::{CrashRow, EndRow, EndsRow, Message, decode_message, encode_message};
 pub use self::port::DatagramPort;
--- a/teaselworks/src/relay/ended_requests.rs
+++ b/teaselworks/src/relay/ended_requests.rs
@@ -14,18 +14,27 @@
 use teaselworks_policy::verdict::Refusal;
 
 use super::Shared;
-use crate::datagram::{EndsRow, Message};
+use crate::datagram::{EndRow, EndsRow, Message};
 use crate::event;
 
 /// Time to open a connection to a replica that broke off a request. One that takes longer counts as
 /// ended.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time within which such a connection is closed if the replica behind a proxy has ended.
+const CLOSING_TIME: Duration = Duration::from_millis(10);
 /// Time between two rounds in which ends without an acknowledgement are reported again.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of these rounds after which some other routers get all that is known.
 const ROUNDS_PER_EXCHANGE: u32 = 4;
 /// Number of routers that get it.
 const EXCHANGE_PEERS: usize = 2;
+/// Number of rounds after the start in which other routers are asked for what they know.
+const START_ROUNDS: u32 = 8;
+/// Pause after the first of these rounds; each later one is longer by as much.
+const START_INTERVAL: Duration = Duration::from_millis(25);
+/// Number of routers that are asked, and of datagrams in which each answers.
+const START_PEERS: usize = 3;
+const MAX_REPLIES: usize = 4;
 /// Maximum number of requests in a datagram.
 const MAX_ROWS: usize = 8;
 
@@ -38,14 +47,16 @@
         incarnation: &Incarnation,
         request: &str,
     ) -> bool {
-        if self.fleet().crashes.requests.has_ended(incarnation.hash()) {
-            return true;
-        }
         let opening = self.open_connection(service, incarnation, request);
         match tokio::time::timeout(PROBE_TIMEOUT, opening).await {
             Ok(Ok(connection)) => {
-                connection.release(self.now());
-                false
+                // A proxy accepts connections to a replica that has ended, and closes them.
+                tokio::time::sleep(CLOSING_TIME).await;
+                let is_closed = connection.sender.is_closed();
+                if !is_closed {
+                    connection.release(self.now());
+                }
+                is_closed
             }
             // The machine answers, so that the link is not the cause.
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => true,
@@ -59,7 +70,7 @@
         let now = self.now();
         let is_blocked = {
             let mut fleet = self.fleet();
-            let has_peers = !fleet.membership.holders(fingerprint).is_empty();
+            let has_peers = !fleet.membership.possible_holders(fingerprint).is_empty();
             fleet.crashes.on_ended(now, fingerprint, end, has_peers)
         };
         self.metrics.add_ended_replica();
@@ -93,7 +104,7 @@
             if !requests.on_answered(now, fingerprint, sent_at) {
                 return;
             }
-            (is_listed, fleet.membership.listed_addresses())
+            (is_listed, fleet.membership.addresses())
         };
         log_released(fingerprint, "answer");
         let sent_age_ms = age_ms(now, sent_at);
@@ -132,7 +143,12 @@
                 for (fingerprint, ends) in &rows {
                     self.on_ends(*fingerprint, ends, sender, is_report);
                 }
-                if is_report {
+                if is_report && rows.is_empty() {
+                    let announced = self.fleet().crashes.requests.announced();
+                    for rows in announced.chunks(MAX_ROWS).take(MAX_REPLIES) {
+                        self.send_ends(rows, false, &[sender]);
+                    }
+                } else if is_report {
                     let known: Vec<u64> =
                         rows.iter().map(|(fingerprint, _)| *fingerprint).collect();
                     self.send_ends(&known, false, &[sender]);
@@ -153,19 +169,14 @@
 
     /// Adds the ends that another router knows of. A message that is not a report answers one, or
     /// tells what its sender knows in any case.
-    fn on_ends(
-        &self,
-        fingerprint: u64,
-        ends: &[(u64, u32, u32)],
-        sender: SocketAddr,
-        is_report: bool,
-    ) {
+    fn on_ends(&self, fingerprint: u64, ends: &[EndRow], sender: SocketAddr, is_report: bool) {
         let now = self.now();
         let at = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
-        let end = |(incarnation, sent_age_ms, ended_age_ms): &(u64, u32, u32)| ReplicaEnd {
+        let end = |(incarnation, sent_age_ms, ended_age_ms, has_begun): &EndRow| ReplicaEnd {
             incarnation: *incarnation,
             sent_at: at(*sent_age_ms),
             ended_at: at(*ended_age_ms),
+            has_begun: *has_begun,
         };
         let ends: Vec<ReplicaEnd> = ends.iter().map(end).collect();
         let is_blocked = {
@@ -204,6 +215,13 @@
     /// learns from that what it missed.
     pub async fn exchange_ended_requests(&self, seed: u64) {
         let mut random = Pcg32::seed_from_u64(seed);
+        for round in 0..START_ROUNDS {
+            let peers = self.fleet().membership.addresses();
+            let peers: Vec<SocketAddr> = peers.sample(&mut random, START_PEERS).copied().collect();
+            let query = Message::RequestEnds { is_report: true, rows: Vec::new() };
+            self.datagrams.send(&query, &peers);
+            tokio::time::sleep(START_INTERVAL * (round + 1)).await;
+        }
         let mut round = 0_u32;
         loop {
             if self.fleet().crashes.requests.is_empty() {
@@ -221,7 +239,7 @@
             let (announced, peers) = {
                 let mut fleet = self.fleet();
                 fleet.crashes.requests.expire(self.now());
-                (fleet.crashes.requests.announced(), fleet.membership.listed_addresses())
+                (fleet.crashes.requests.announced(), fleet.membership.addresses())
             };
             self.count_blocked_requests();
             let rows: Vec<u64> = announced.sample(&mut random, MAX_ROWS).copied().collect();
@@ -234,7 +252,7 @@
     /// Reports the ends of a request to the routers that remember them. Without such a router, nothing
     /// else can be known of the request.
     fn report_ends(&self, fingerprint: u64) {
-        let holders = self.fleet().membership.holders(fingerprint);
+        let holders = self.fleet().membership.possible_holders(fingerprint);
         if holders.is_empty() {
             self.fleet().crashes.requests.on_acknowledged(fingerprint);
         }
@@ -249,7 +267,7 @@
             if !is_due {
                 return;
             }
-            fleet.membership.listed_addresses()
+            fleet.membership.addresses()
         };
         self.send_ends(&[fingerprint], false, &peers);
     }
@@ -264,7 +282,9 @@
             let row = |fingerprint: &u64| {
                 let ends = fleet.crashes.requests.ends(*fingerprint).iter();
                 let ends = ends.map(|end| {
-                    (end.incarnation, age_ms(now, end.sent_at), age_ms(now, end.ended_at))
+                    let (sent_age_ms, ended_age_ms) =
+                        (age_ms(now, end.sent_at), age_ms(now, end.ended_at));
+                    (end.incarnation, sent_age_ms, ended_age_ms, end.has_begun)
                 });
                 (*fingerprint, ends.collect())
             };
--- a/teaselworks/src/relay/in_flight.rs
+++ b/teaselworks/src/relay/in_flight.rs
@@ -137,16 +137,27 @@
     pub(super) async fn on_broken(&self) {
         let Some(request) = &self.request else { return };
         let attribution = self.attribution(request);
-        let broken_at = self.shared.now();
-        let has_ended = self.shared.has_ended(&self.service, &self.incarnation, &request.id).await;
+        let end = ReplicaEnd {
+            incarnation: self.incarnation.hash(),
+            sent_at: self.started_at,
+            ended_at: self.shared.now(),
+            has_begun: self.first_byte_at.is_some(),
+        };
+        let (shared, service) = (self.shared.clone(), self.service.clone());
+        let (incarnation, id) = (self.incarnation.clone(), request.id.clone());
+        let fingerprint = request.fingerprint;
+        // The caller may leave meanwhile, which cancels everything else.
+        let recording = tokio::spawn(async move {
+            let has_ended = shared.has_ended(&service, &incarnation, &id).await;
+            if has_ended {
+                shared.on_replica_ended(fingerprint, end).await;
+            }
+            has_ended
+        });
+        let has_ended = recording.await.unwrap_or(false);
         self.log_broken(request, attribution, has_ended);
-        let incarnation = self.incarnation.hash();
         if let (Some(parts), CrashAttribution::Parts) = (&request.parts, attribution) {
-            self.shared.on_crashed(parts, incarnation, self.started_at);
-        }
-        if has_ended {
-            let end = ReplicaEnd { incarnation, sent_at: self.started_at, ended_at: broken_at };
-            self.shared.on_replica_ended(request.fingerprint, end).await;
+            self.shared.on_crashed(parts, end.incarnation, end.sent_at);
         }
     }
 
--- a/teaselworks/tests/crashing_requests.rs
+++ b/teaselworks/tests/crashing_requests.rs
@@ -3,15 +3,20 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use common::crashes::restart_replicas;
 use common::request;
 use futures_util::future::join_all;
+use nix::sys::signal::Signal;
 use teaselworks_standin::caller::{Call, call};
 use teaselworks_standin::configuration::{ARCHIVE_SERVICE, CHAT_SERVICE, TestConfiguration};
 use teaselworks_standin::fleet::Fleet;
+use teaselworks_standin::links::Partition;
+use teaselworks_standin::router::Router;
+use teaselworks_standin::store::Mode;
 use teaselworks_standin::upstream::{ReceivedRequest, Script, Step, Upstream, chunk, stream_head};
 
 /// Number of replicas of each service.
@@ -151,7 +156,7 @@
 
 /// Sends `count` requests, `interval` apart, to each router in turn.
 async fn send(
-    fleet: &Fleet,
+    routers: &[SocketAddr],
     prefix: &str,
     count: usize,
     interval: Duration,
@@ -160,9 +165,9 @@
     let build = &build;
     let sent = (0..count).map(async |number| {
         tokio::time::sleep(interval * number as u32).await;
-        let router = &fleet.routers[number % fleet.routers.len()];
+        let router = routers[number % routers.len()];
         let id = format!("{prefix}{number}");
-        let reply = call(router.callers_address(), &build(&id, number)).await.unwrap_or_default();
+        let reply = call(router, &build(&id, number)).await.unwrap_or_default();
         Outcome { id, status: reply.status(), is_whole: reply.body.is_whole }
     });
     join_all(sent).await
@@ -190,7 +195,7 @@
         let request = line["request"].as_str().unwrap_or_default();
         request.starts_with(prefix) && ["blocked_part", "blocked_request"].contains(&reason)
     };
-    let refused = |router: &teaselworks_standin::router::Router| {
+    let refused = |router: &Router| {
         router.events("request_refused").iter().filter(|line| is_refused(line)).count()
     };
     fleet.routers.iter().map(refused).sum()
@@ -208,39 +213,61 @@
     counts
 }
 
-/// Repeats a request that crashes replicas beside sound ones, and checks that it ends three at most and
-/// that no sound one is refused for it.
-async fn check_repeated(routers: usize, load: Load) {
-    let fleet = start_fleet(routers, load).await;
+/// Repeats a request that crashes replicas beside sound ones while `disturb` runs, and checks that it
+/// ends `max_ended` at most and that no sound one is refused for it.
+async fn check_disturbed(
+    fleet: &mut Fleet,
+    load: Load,
+    max_ended: usize,
+    disturb: impl AsyncFnOnce(&mut [Router]),
+) {
     let is_over = AtomicBool::new(false);
+    let mut routers = std::mem::take(&mut fleet.routers);
+    let addresses: Vec<SocketAddr> = routers.iter().map(Router::callers_address).collect();
     let sending = async {
         let sent = tokio::join!(
-            send(&fleet, "c", TRIES, TRY_INTERVAL, |id, _| load.crashing(id)),
-            send(&fleet, "s", SOUND_REQUESTS, SOUND_INTERVAL, |id, number| load.sound(id, number)),
+            send(&addresses, "c", TRIES, TRY_INTERVAL, |id, _| load.crashing(id)),
+            send(&addresses, "s", SOUND_REQUESTS, SOUND_INTERVAL, |id, number| {
+                load.sound(id, number)
+            }),
         );
         is_over.store(true, Ordering::Relaxed);
         sent
     };
-    let restarting = restart_replicas(&fleet, load.replicas(&fleet), load.service(), &is_over);
-    let ((tries, sound), crashes): (_, Vec<Instant>) = tokio::join!(sending, restarting);
-    let runs = count_runs(load, &fleet, &tries);
+    let restarting = restart_replicas(fleet, load.replicas(fleet), load.service(), &is_over);
+    let ((tries, sound), crashes, ()): (_, Vec<Instant>, ()) =
+        tokio::join!(sending, restarting, disturb(&mut routers));
+    fleet.routers = routers;
+    let runs = count_runs(load, fleet, &tries);
     let served = sound.iter().filter(|sent| sent.status == 200 && sent.is_whole).count();
-    let (refused, sound_refused) = (count_refused(&fleet, 'c'), count_refused(&fleet, 's'));
+    let (refused, sound_refused) = (count_refused(fleet, 'c'), count_refused(fleet, 's'));
     println!(
         "{runs} runs, {} crashes, {refused} refused; sound: {served} served, {sound_refused} refused",
         crashes.len()
     );
-    let broken = (attributions(&fleet, 'c'), attributions(&fleet, 's'));
+    let broken = (attributions(fleet, 'c'), attributions(fleet, 's'));
     println!("broken off: {:?}; sound: {:?}", broken.0, broken.1);
     assert!(!crashes.is_empty(), "the request crashes replicas");
-    let settled = crashes.get(MAX_ENDED_REPLICAS - 1).map(|third| *third + SETTLING_TIME);
-    let further = settled.map_or(0, |settled| count_runs_since(load, &fleet, settled));
+    let settled = crashes.get(max_ended - 1).map(|last| *last + SETTLING_TIME);
+    let further = settled.map_or(0, |settled| count_runs_since(load, fleet, settled));
     assert_eq!(further, 0, "{} crashes", crashes.len());
     // Several tries of a long stream are in progress when the first replica crashes.
     let is_sequential = !matches!(load, Load::LongGloss);
-    assert!(!is_sequential || runs <= MAX_ENDED_REPLICAS, "{runs} runs");
+    assert!(!is_sequential || runs <= max_ended, "{runs} runs");
     assert_eq!(sound_refused, 0);
-    assert!(tries[TRIES / 2..].iter().all(|sent| sent.status == 503), "{tries:?}");
+    let is_refused = |sent: &&Outcome| sent.status == 503;
+    assert!(tries[TRIES / 2..].iter().filter(is_refused).count() >= TRIES / 3, "{tries:?}");
+}
+
+async fn check_repeated(routers: usize, load: Load) {
+    let mut fleet = start_fleet(routers, load).await;
+    check_disturbed(&mut fleet, load, MAX_ENDED_REPLICAS, async |_| {}).await;
+}
+
+async fn kill_and_restart(router: &mut Router) {
+    router.signal(Signal::SIGKILL).unwrap();
+    router.wait_for_exit().await.unwrap();
+    router.spawn().unwrap();
 }
 
 /// Guards against a request that crashes one engine after the other: only the last part of its prompt,
@@ -268,3 +295,107 @@
 async fn an_unsafe_request_that_crashes_replicas_is_refused() {
     check_repeated(4, Load::Write).await;
 }
+
+/// Guards against routers that are killed one after the other and forget what they saw.
+#[tokio::test]
+async fn the_limit_holds_while_routers_are_killed_in_series() {
+    let mut fleet = start_fleet(4, Load::Chat).await;
+    check_disturbed(&mut fleet, Load::Chat, MAX_ENDED_REPLICAS, async |routers| {
+        for number in 0..10 {
+            tokio::time::sleep(Duration::from_millis(350)).await;
+            kill_and_restart(&mut routers[number % 4]).await;
+        }
+    })
+    .await;
+}
+
+/// Guards against a fleet of which every process is killed at once, twice.
+#[tokio::test]
+async fn the_limit_holds_while_all_routers_are_killed_at_once() {
+    let mut fleet = start_fleet(4, Load::Read).await;
+    check_disturbed(&mut fleet, Load::Read, MAX_ENDED_REPLICAS, async |routers| {
+        for pause_ms in [250, 1_500] {
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            join_all(routers.iter_mut().map(kill_and_restart)).await;
+        }
+    })
+    .await;
+}
+
+/// Guards against a router that starts while the store does not answer, and learns of nothing.
+#[tokio::test]
+async fn the_limit_holds_while_the_store_is_away() {
+    let mut fleet = start_fleet(4, Load::Write).await;
+    fleet.store.set_mode(Mode::Silent);
+    check_disturbed(&mut fleet, Load::Write, MAX_ENDED_REPLICAS, async |routers| {
+        for router in routers {
+            tokio::time::sleep(Duration::from_millis(900)).await;
+            kill_and_restart(router).await;
+        }
+    })
+    .await;
+}
+
+/// Guards against a router that takes what it cannot know for nothing: no other one answers it.
+#[tokio::test]
+async fn a_router_that_is_out_of_touch_assumes_further_ends() {
+    let mut fleet = start_fleet(4, Load::Chat).await;
+    fleet.store.set_mode(Mode::Silent);
+    fleet.routers[1..].iter().for_each(|router| router.signal(Signal::SIGSTOP).unwrap());
+    let suspended = fleet.routers.split_off(1);
+    check_disturbed(&mut fleet, Load::Chat, 1, async |_| {}).await;
+    suspended.iter().for_each(|router| router.signal(Signal::SIGCONT).unwrap());
+}
+
+/// Guards against routers that take themselves for the only ones, since their registrations have lapsed.
+#[tokio::test]
+async fn the_limit_holds_while_the_list_of_routers_lapses() {
+    let mut fleet = start_fleet(4, Load::Read).await;
+    fleet.store.end_leases();
+    // Watches see the end of the leases; renewals do not.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.store.set_mode(Mode::Unavailable);
+    check_disturbed(&mut fleet, Load::Read, MAX_ENDED_REPLICAS, async |_| {}).await;
+}
+
+/// Guards against a router that reaches no replica and hands such a request to others.
+#[tokio::test]
+async fn a_request_that_is_handed_to_other_routers_is_refused() {
+    let mut fleet = Fleet::start_with_links(common::program(), 3).await.unwrap();
+    fleet.engines.iter().for_each(|replica| replica.set_behaviour(|req| engine(req, 0)));
+    fleet.links[0].partition(Partition::Resetting);
+    let others = fleet.routers.split_off(1);
+    check_disturbed(&mut fleet, Load::Chat, MAX_ENDED_REPLICAS, async |_| {}).await;
+    drop(others);
+}
+
+/// Guards against sound requests that are refused since replicas crash for a reason that has nothing to
+/// do with requests, although their callers send them once more.
+#[tokio::test]
+async fn crashes_for_another_reason_refuse_no_request() {
+    let fleet = start_fleet(4, Load::Read).await;
+    let addresses: Vec<SocketAddr> = fleet.routers.iter().map(Router::callers_address).collect();
+    let is_over = AtomicBool::new(false);
+    let crash_replicas = async {
+        for number in 0..36 {
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            fleet.archives[number % REPLICAS].stop();
+        }
+    };
+    let sending = async {
+        let send = |prefix| {
+            send(&addresses, prefix, SOUND_REQUESTS, SOUND_INTERVAL, |id, number| {
+                Load::Read.sound(id, number)
+            })
+        };
+        let (first, again, ()) = tokio::join!(send("s"), send("t"), crash_replicas);
+        is_over.store(true, Ordering::Relaxed);
+        (first, again)
+    };
+    let restarting = restart_replicas(&fleet, &fleet.archives, ARCHIVE_SERVICE, &is_over);
+    let ((first, again), crashes) = tokio::join!(sending, restarting);
+    assert!(crashes.len() >= 30, "{}", crashes.len());
+    assert_eq!(count_refused(&fleet, 's') + count_refused(&fleet, 't'), 0);
+    let served = first.iter().chain(&again).filter(|sent| sent.status == 200).count();
+    println!("{} crashes, {served} of {} served", crashes.len(), 2 * SOUND_REQUESTS);
+}
--- a/teaselworks_policy/src/crash/requests.rs
+++ b/teaselworks_policy/src/crash/requests.rs
@@ -17,6 +17,9 @@
 pub const REQUEST_MEMORY: Duration = Duration::from_secs(300);
 /// Time that other routers have to acknowledge an end. Later, ends that only they know of are assumed.
 pub const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(30);
+/// Shortest time in which a replica starts again under the same incarnation. The times in reports differ
+/// by less between routers.
+const RESTART_TIME: Duration = Duration::from_millis(100);
 /// Retry-after time while no other router acknowledges an end.
 const UNACKNOWLEDGED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time after its start during which a router lists single ends in the store: the routers that would
@@ -26,8 +29,6 @@
 const MAX_REQUESTS: usize = 4_096;
 /// Maximum number of ends that are remembered for a request.
 const MAX_ENDS: usize = 6;
-/// Maximum number of replicas that are remembered as ended.
-const MAX_ENDED: usize = 1_024;
 
 /// The end of a replica that ran a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -38,6 +39,20 @@
     pub sent_at: Duration,
     /// Clock reading at which the replica broke it off.
     pub ended_at: Duration,
+    /// Whether the answer had begun, so that the replica certainly ran then.
+    pub has_begun: bool,
+}
+
+impl ReplicaEnd {
+    /// Returns whether two reports may be of the same end. The store may still list the incarnation of
+    /// before a restart; one that answers has restarted.
+    fn is_same(&self, other: &ReplicaEnd) -> bool {
+        let is_later = |end: &ReplicaEnd, earlier: &ReplicaEnd| {
+            end.has_begun && end.sent_at > earlier.ended_at + RESTART_TIME
+        };
+        let is_distinct = is_later(self, other) || is_later(other, self);
+        self.incarnation == other.incarnation && !is_distinct
+    }
 }
 
 /// Why a request is refused.
@@ -96,8 +111,6 @@
 pub struct RequestLedger {
     records: HashMap<u64, Record>,
     answered: AnsweredRequests,
-    /// Incarnations that have ended, by the clock reading at which that was found out.
-    ended: HashMap<u64, Duration>,
 }
 
 impl RequestLedger {
@@ -112,13 +125,12 @@
     /// let now = Duration::from_secs(9);
     /// for incarnation in 1..=3 {
     ///     assert!(ledger.blocked(now, 7).is_none());
-    ///     let end = ReplicaEnd { incarnation, sent_at: now, ended_at: now };
+    ///     let end = ReplicaEnd { incarnation, sent_at: now, ended_at: now, has_begun: true };
     ///     ledger.on_ended(now, 7, end, false);
     /// }
     /// assert!(ledger.blocked(now, 7).is_some());
     /// ```
     pub fn on_ended(&mut self, now: Duration, fingerprint: u64, end: ReplicaEnd, has_peers: bool) {
-        self.note_ended(now, end.incarnation);
         self.merge(now, fingerprint, &[end]);
         if let Some(record) = self.records.get_mut(&fingerprint).filter(|_| has_peers) {
             record.unacknowledged_since.get_or_insert(now);
@@ -133,8 +145,7 @@
         for end in ends {
             let record = self.records.get(&fingerprint);
             let is_known = record.is_some_and(|record| {
-                record.ends.len() >= MAX_ENDS
-                    || record.ends.iter().any(|known| known.incarnation == end.incarnation)
+                record.ends.len() >= MAX_ENDS || record.ends.iter().any(|known| known.is_same(end))
             });
             if is_known || is_refuted(end) || !self.make_room(now, fingerprint) {
                 continue;
@@ -197,11 +208,6 @@
         self.records.keys().filter(|fingerprint| self.has_reached_limit(**fingerprint)).count()
     }
 
-    /// Returns whether a replica is known to have ended.
-    pub fn has_ended(&self, incarnation: u64) -> bool {
-        self.ended.contains_key(&incarnation)
-    }
-
     /// Returns whether another router has yet to acknowledge an end of a request.
     pub fn is_unacknowledged(&self, fingerprint: u64) -> bool {
         let record = self.records.get(&fingerprint);
@@ -251,6 +257,7 @@
             incarnation: *incarnation,
             sent_at: now,
             ended_at: now,
+            has_begun: false,
         };
         let ends: Vec<ReplicaEnd> = incarnations.iter().map(end).collect();
         let is_changed = self.merge(now, fingerprint, &ends);
@@ -313,16 +320,6 @@
             record.updated_at = now;
             was_refused
         });
-        self.ended.retain(|_, at| now.saturating_sub(*at) < REQUEST_MEMORY);
-    }
-
-    fn note_ended(&mut self, now: Duration, incarnation: u64) {
-        if self.ended.len() >= MAX_ENDED {
-            self.ended.retain(|_, at| now.saturating_sub(*at) < REQUEST_MEMORY / 10);
-        }
-        if self.ended.len() < MAX_ENDED {
-            self.ended.insert(incarnation, now);
-        }
     }
 
     /// Returns whether a request can be remembered. Drops the oldest half of those with the fewest ends
--- a/teaselworks_policy/src/membership.rs
+++ b/teaselworks_policy/src/membership.rs
@@ -364,6 +364,35 @@
         holders.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Returns the addresses of the holders of a key, and those of routers that would be among them and
+    /// are no longer registered: the list may have lapsed although they serve.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselworks_policy::membership::Membership;
+    ///
+    /// let mut membership = Membership::new("router-0".into(), Vec::new());
+    /// membership.put("router-1".into(), ([127, 0, 0, 1], 81).into());
+    /// membership.remove(Duration::ZERO, "router-1");
+    /// assert!(membership.holders(7).is_empty());
+    /// assert_eq!(membership.possible_holders(7).len(), 1);
+    /// ```
+    pub fn possible_holders(&self, key: u64) -> Vec<SocketAddr> {
+        let others = self.peers.iter().filter(|(name, _)| **name != self.own_name);
+        let mut others: Vec<(u64, &Peer)> =
+            others.map(|(name, peer)| (xxh3_64_with_seed(name.as_bytes(), key), peer)).collect();
+        others.sort_unstable_by_key(|(score, _)| Reverse(*score));
+        let (mut holders, mut listed) = (Vec::new(), 0);
+        for (_, peer) in others {
+            if listed == HOLDERS || holders.len() == 2 * HOLDERS {
+                break;
+            }
+            listed += usize::from(peer.unlisted_since.is_none());
+            holders.push(peer.address);
+        }
+        holders
+    }
+
     /// Returns the name of this router.
     ///
     /// ```
