Model and policy tests of requests under which replicas end

Cause: the class of the incident was known to tests with real processes at one size only. Change: a simulation of one request that crashes engines beside sound ones, with routers killed in series or all at once, out of touch, without the store or the list of routers, uneven callers and crashes for another reason, at 7, 91, 295 and 410 routers; a planted bug (routers that tell nobody); tests of the decisions, one of them of random orders of messages.

--- a/teaselworks_model/src/lib.rs
+++ b/teaselworks_model/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod caller;
 mod crashes;
+mod ended_requests;
 mod engine;
 mod load;
 mod result;
@@ -16,6 +17,9 @@
 mod streams;
 
 pub use self::crashes::{CrashLoad, CrashOutcome, run_crashes};
+pub use self::ended_requests::{
+    EndedRequestLoad, EndedRequestOutcome, RouterFault, run_ended_requests,
+};
 pub use self::load::{
     ColdRestart, EngineSettings, Evacuation, Funnel, HotPart, Load, LoadError, Outage,
     PlacementMode, RequestKind, Surge,
