A request that was answered before is refused for ten seconds, not five minutes

Cause: found by reading: where a whole service crashes, three ends in sequence can precede the next answer of a sound request that many callers send; nothing would then answer it for five minutes. Change: whether a request was answered before is kept with its ends; such a request is refused for ten seconds after each further end, and its next answer refutes all. Of many ends the newest are kept, so that each renews the refusal. Result: a_request_that_was_answered_before_is_tried_again_soon.

--- a/teaselworks_policy/src/crash/requests.rs
+++ b/teaselworks_policy/src/crash/requests.rs
@@ -15,6 +15,9 @@
 pub const ANNOUNCED_ENDS: usize = 2;
 /// Time after the last end for which a request is remembered, and refused if it has reached the limit.
 pub const REQUEST_MEMORY: Duration = Duration::from_secs(300);
+/// Time after the last end for which a request is refused that was answered before: the cause is more
+/// likely elsewhere, and its next answer refutes the ends.
+const ANSWERED_BLOCK_TIME: Duration = Duration::from_secs(10);
 /// Time that other routers have to acknowledge an end. Later, ends that only they know of are assumed.
 pub const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(30);
 /// Shortest time in which a replica starts again under the same incarnation. The times in reports differ
@@ -74,6 +77,8 @@
     ends: Vec<ReplicaEnd>,
     /// Clock reading of the last change.
     updated_at: Duration,
+    /// Whether the request was answered before.
+    was_answered: bool,
     /// Clock reading of an end at this router that no other one has acknowledged.
     unacknowledged_since: Option<Duration>,
     /// Number of ends that this router has told all others of.
@@ -87,8 +92,8 @@
     ///
     /// Several replicas may run equal requests and end together for another reason. Of a request that
     /// was answered before, only ends of which each followed the one before count.
-    fn count(&self, was_answered: bool) -> usize {
-        if !was_answered {
+    fn count(&self) -> usize {
+        if !self.was_answered {
             return self.ends.len();
         }
         let mut ends = self.ends.clone();
@@ -104,6 +109,28 @@
         }
         count
     }
+
+    /// Returns whether as many replicas as may have ended.
+    fn has_reached_limit(&self) -> bool {
+        self.count() >= MAX_ENDED_REPLICAS
+    }
+
+    /// Adds an end unless it is known. Of too many ends, the newest are kept.
+    fn add(&mut self, now: Duration, end: &ReplicaEnd) -> bool {
+        if self.ends.iter().any(|known| known.is_same(end)) {
+            return false;
+        }
+        if self.ends.len() >= MAX_ENDS {
+            let oldest = (0..self.ends.len()).min_by_key(|index| self.ends[*index].ended_at);
+            match oldest.filter(|oldest| self.ends[*oldest].ended_at < end.ended_at) {
+                Some(oldest) => self.ends.remove(oldest),
+                None => return false,
+            };
+        }
+        self.ends.push(*end);
+        self.updated_at = now;
+        true
+    }
 }
 
 /// One router's record of the requests under which replicas ended.
@@ -143,17 +170,12 @@
         let is_refuted = |end: &ReplicaEnd| answered_at.is_some_and(|at| end.ended_at <= at);
         let mut is_changed = false;
         for end in ends {
-            let record = self.records.get(&fingerprint);
-            let is_known = record.is_some_and(|record| {
-                record.ends.len() >= MAX_ENDS || record.ends.iter().any(|known| known.is_same(end))
-            });
-            if is_known || is_refuted(end) || !self.make_room(now, fingerprint) {
+            if is_refuted(end) || !self.make_room(now, fingerprint) {
                 continue;
             }
             let record = self.records.entry(fingerprint).or_default();
-            record.ends.push(*end);
-            record.updated_at = now;
-            is_changed = true;
+            record.was_answered |= answered_at.is_some();
+            is_changed |= record.add(now, end);
         }
         is_changed
     }
@@ -184,8 +206,9 @@
     pub fn blocked(&self, now: Duration, fingerprint: u64) -> Option<BlockedRequest> {
         let record = self.records.get(&fingerprint)?;
         let ended = record.ends.len();
-        if self.has_reached_limit(fingerprint) {
-            let retry_after = (record.updated_at + REQUEST_MEMORY).saturating_sub(now);
+        if record.has_reached_limit() {
+            let time = if record.was_answered { ANSWERED_BLOCK_TIME } else { REQUEST_MEMORY };
+            let retry_after = (record.updated_at + time).saturating_sub(now);
             let is_over = retry_after.is_zero();
             return (!is_over).then_some(BlockedRequest { ended, retry_after, is_confirmed: true });
         }
@@ -198,14 +221,12 @@
 
     /// Returns whether as many replicas as may have ended under a request.
     pub fn has_reached_limit(&self, fingerprint: u64) -> bool {
-        let was_answered = self.answered.find(fingerprint).is_some();
-        let record = self.records.get(&fingerprint);
-        record.is_some_and(|record| record.count(was_answered) >= MAX_ENDED_REPLICAS)
+        self.records.get(&fingerprint).is_some_and(Record::has_reached_limit)
     }
 
-    /// Returns the number of requests that are refused since the limit is reached.
+    /// Returns the number of requests for which the limit is reached.
     pub fn blocked_count(&self) -> usize {
-        self.records.keys().filter(|fingerprint| self.has_reached_limit(**fingerprint)).count()
+        self.records.values().filter(|record| record.has_reached_limit()).count()
     }
 
     /// Returns whether another router has yet to acknowledge an end of a request.
@@ -284,14 +305,8 @@
 
     /// Takes ends that have another cause from the requests that are not refused for them.
     pub fn explain(&mut self, incarnations: &HashSet<u64>) {
-        let was_answered: HashSet<u64> = self
-            .records
-            .keys()
-            .copied()
-            .filter(|fingerprint| self.answered.find(*fingerprint).is_some())
-            .collect();
-        self.records.retain(|fingerprint, record| {
-            if record.count(was_answered.contains(fingerprint)) < MAX_ENDED_REPLICAS {
+        self.records.retain(|_, record| {
+            if !record.has_reached_limit() {
                 record.ends.retain(|end| !incarnations.contains(&end.incarnation));
             }
             !record.ends.is_empty()
--- a/teaselworks_policy/tests/ended_requests.rs
+++ b/teaselworks_policy/tests/ended_requests.rs
@@ -100,6 +100,28 @@
     assert!(is_blocked(&unanswered, 700));
 }
 
+/// Guards against a sound request that many callers send and that is refused for minutes after the whole
+/// service crashed.
+#[test]
+fn a_request_that_was_answered_before_is_tried_again_soon() {
+    let mut ledger = RequestLedger::default();
+    ledger.on_answered(at(0), CRASHING, at(0));
+    for number in 1..=9 {
+        let sent_ms = 20_000 * number;
+        for replica in 0..3 {
+            let end = end(100 * number + replica, sent_ms + 200 * replica);
+            assert!(!is_blocked(&ledger, sent_ms + 200 * replica), "series {number}, {replica}");
+            ledger.on_ended(end.ended_at, CRASHING, end, false);
+            if number > 1 {
+                break;
+            }
+        }
+        assert!(is_blocked(&ledger, sent_ms + 600), "series {number}");
+    }
+    assert!(ledger.on_answered(at(200_000), CRASHING, at(199_000)));
+    assert!(!is_blocked(&ledger, 200_000));
+}
+
 /// Guards against a replica that restarts before its entry does and counts once for two ends, and one that
 /// is down and counts for each request that is sent to it.
 #[test]
