Ends of replicas survive lapsed leases; answered requests are not refused with the one that crashes

Change: a listing that ends changes nothing, and routers that observed an end list it again; whether a request was answered before travels with its ends; a router whose answers refute an end says so to its sender; a refused request that was never answered explains the ends of those that were, and not the other way round.

--- a/teaselworks/src/datagram/message.rs
+++ b/teaselworks/src/datagram/message.rs
@@ -113,8 +113,8 @@
 /// since its replica broke off in milliseconds, and whether answers were lately written on the part.
 pub type CrashRow = (u64, u64, u32, u32, bool);
 
-/// Fingerprint of a request, and the ends of replicas that ran it.
-pub type EndsRow = (u64, Vec<EndRow>);
+/// Fingerprint of a request, whether it was answered before, and the ends of replicas that ran it.
+pub type EndsRow = (u64, bool, Vec<EndRow>);
 
 /// Hash of the incarnation that ended, the times since the request was sent and since the replica ended in
 /// milliseconds, and whether its answer had begun.
--- a/teaselworks/src/discovery/ended_requests.rs
+++ b/teaselworks/src/discovery/ended_requests.rs
@@ -8,7 +8,7 @@
 use teaselworks_policy::crash::REQUEST_MEMORY;
 
 use crate::metrics::{Metrics, StoreOutcome};
-use crate::platform::{Store, StoreError, encode_ends, ended_request_key};
+use crate::platform::{ListedEnds, Store, StoreError, ended_request_key};
 use crate::relay::Shared;
 
 /// Pause in which further changes are collected for the same call.
@@ -68,12 +68,14 @@
         let (mut puts, mut removed) = (Vec::new(), Vec::new());
         for fingerprint in batch {
             let fleet = self.shared.fleet();
-            let ends = fleet.crashes.requests.ends(*fingerprint);
+            let requests = &fleet.crashes.requests;
+            let ends = requests.ends(*fingerprint).iter().map(|end| end.incarnation).collect();
+            let listed = ListedEnds { ends, was_answered: requests.was_answered(*fingerprint) };
             let key = ended_request_key(*fingerprint);
-            if ends.is_empty() {
+            if listed.ends.is_empty() {
                 removed.push(key);
             } else {
-                puts.push((key, encode_ends(ends.iter().map(|end| end.incarnation))));
+                puts.push((key, listed.encode()));
             }
         }
         if !removed.is_empty() {
--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -90,5 +90,5 @@
     PART_BLOCKED = 922 Warn "part_blocked" "A part of prompts crashes the replicas that begin to write an answer on it: requests with it are refused for five minutes. The source says whether this router found out from crashes, another one did (router), or the store lists it; the number of crashes is known to the first two.";
     PART_RELEASED = 923 Info "part_released" "A part of prompts is no longer blocked: an answer was written on it after all, as seen here (answer) or by another router, or the store lists it no longer.";
     ENDED_LIMIT_REACHED = 924 Warn "ended_limit_reached" "As many upstreams as may have ended while they ran requests with the same fingerprint: these are refused for five minutes, or until one that is in progress is answered. The source says whether that followed from a crash seen here, or from what another router or the store told.";
-    ENDS_REFUTED = 925 Info "ends_refuted" "A request under which upstreams had ended was answered after all, as seen here (answer) or by another router, or the store no longer lists it: the ends no longer count against it.";
+    ENDS_REFUTED = 925 Info "ends_refuted" "A request under which upstreams had ended was answered after all, as seen here (answer) or by another router: the ends no longer count against it.";
 }
--- a/teaselworks/src/platform/item.rs
+++ b/teaselworks/src/platform/item.rs
@@ -73,22 +73,28 @@
     format!("{ENDED_REQUEST_KEY_PREFIX}{fingerprint:x}")
 }
 
-/// Returns the value of such a key: the hashes of the incarnations that ended, in hexadecimal.
-///
-/// ```
-/// use teaselworks::platform::encode_ends;
-///
-/// assert_eq!(encode_ends([1, 0xbad]), b"1,bad");
-/// ```
-pub fn encode_ends(incarnations: impl IntoIterator<Item = u64>) -> Vec<u8> {
-    let names: Vec<String> = incarnations.into_iter().map(|hash| format!("{hash:x}")).collect();
-    names.join(",").into_bytes()
+/// Value of such a key.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ListedEnds {
+    /// Hashes of the incarnations that ended while they ran the request.
+    pub ends: Vec<u64>,
+    /// Whether it was answered before.
+    pub was_answered: bool,
 }
 
-/// Returns the incarnations that a value names, without what is not one.
-fn decode_ends(value: &[u8]) -> Vec<u64> {
-    let text = String::from_utf8_lossy(value);
-    text.split(',').filter_map(|hash| u64::from_str_radix(hash, 16).ok()).collect()
+impl ListedEnds {
+    /// Returns the value as it is written.
+    ///
+    /// ```
+    /// use teaselworks::platform::ListedEnds;
+    ///
+    /// let value = ListedEnds { ends: vec![7], was_answered: false }.encode();
+    /// assert_eq!(value, br#"{"ends":[7],"was_answered":false}"#);
+    /// ```
+    pub fn encode(&self) -> Vec<u8> {
+        // Never fails: it has no map whose keys are not text.
+        serde_json::to_vec(self).unwrap_or_default()
+    }
 }
 
 /// Returns the kind of entry that a key names.
@@ -131,8 +137,8 @@
     Evacuation(Arc<str>),
     /// The identifier of a blocked part of prompts.
     BlockedPart(u64),
-    /// Fingerprint of a request, and the incarnations that ended while they ran it.
-    EndedRequest(u64, Vec<u64>),
+    /// Fingerprint of a request, and the replicas that ended while they ran it.
+    EndedRequest(u64, ListedEnds),
     /// An upstream.
     Upstream(Upstream),
     /// Name of a router, and the address at which other routers reach it.
@@ -153,8 +159,9 @@
         KeyKind::Evacuation(zone) => return Ok(ItemValue::Evacuation(zone.into())),
         KeyKind::BlockedPart(part) => return Ok(ItemValue::BlockedPart(part)),
         KeyKind::EndedRequest(fingerprint) => {
-            let ends = item.value.as_deref().map(decode_ends).unwrap_or_default();
-            return Ok(ItemValue::EndedRequest(fingerprint, ends));
+            let value = item.value.as_deref().unwrap_or_default();
+            let listed = serde_json::from_slice(value).unwrap_or_default();
+            return Ok(ItemValue::EndedRequest(fingerprint, listed));
         }
         KeyKind::Configuration | KeyKind::Upstream(_) | KeyKind::Router(_) => {}
     }
--- a/teaselworks/src/platform/mod.rs
+++ b/teaselworks/src/platform/mod.rs
@@ -14,7 +14,7 @@
 
 pub use self::error::{DecodeError, StoreError};
 pub use self::item::{
-    Item, ItemValue, KeyKind, blocked_part_key, classify_key, decode_item, encode_ends,
+    Item, ItemValue, KeyKind, ListedEnds, blocked_part_key, classify_key, decode_item,
     ended_request_key,
 };
 pub use self::registration::{registration_key, registration_value};
--- a/teaselworks/src/relay/ended_requests.rs
+++ b/teaselworks/src/relay/ended_requests.rs
@@ -16,6 +16,7 @@
 use super::Shared;
 use crate::datagram::{EndRow, EndsRow, Message};
 use crate::event;
+use crate::platform::ListedEnds;
 
 /// Time to open a connection to a replica that broke off a request. One that takes longer counts as
 /// ended.
@@ -140,8 +141,8 @@
         let now = self.now();
         match message {
             Message::RequestEnds { is_report, rows } => {
-                for (fingerprint, ends) in &rows {
-                    self.on_ends(*fingerprint, ends, sender, is_report);
+                for row in &rows {
+                    self.on_ends(row, sender, is_report);
                 }
                 if is_report && rows.is_empty() {
                     let announced = self.fleet().crashes.requests.announced();
@@ -150,7 +151,7 @@
                     }
                 } else if is_report {
                     let known: Vec<u64> =
-                        rows.iter().map(|(fingerprint, _)| *fingerprint).collect();
+                        rows.iter().map(|(fingerprint, ..)| *fingerprint).collect();
                     self.send_ends(&known, false, &[sender]);
                 } else {
                     self.end_acknowledged.notify_waiters();
@@ -169,7 +170,8 @@
 
     /// Adds the ends that another router knows of. A message that is not a report answers one, or
     /// tells what its sender knows in any case.
-    fn on_ends(&self, fingerprint: u64, ends: &[EndRow], sender: SocketAddr, is_report: bool) {
+    fn on_ends(&self, row: &EndsRow, sender: SocketAddr, is_report: bool) {
+        let (fingerprint, was_answered, ends) = (row.0, row.1, &row.2);
         let now = self.now();
         let at = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
         let end = |(incarnation, sent_age_ms, ended_age_ms, has_begun): &EndRow| ReplicaEnd {
@@ -179,14 +181,18 @@
             has_begun: *has_begun,
         };
         let ends: Vec<ReplicaEnd> = ends.iter().map(end).collect();
-        let is_blocked = {
+        let (is_blocked, refuted_at) = {
             let mut fleet = self.fleet();
-            let is_blocked = fleet.crashes.merge_ends(now, fingerprint, &ends);
+            let is_blocked = fleet.crashes.merge_ends(now, fingerprint, &ends, was_answered);
             if !is_report {
                 fleet.crashes.requests.on_acknowledged(fingerprint);
             }
-            is_blocked
+            (is_blocked, fleet.crashes.requests.find_refutation(fingerprint, &ends))
         };
+        if let Some(sent_at) = refuted_at {
+            let sent_age_ms = age_ms(now, sent_at);
+            self.datagrams.send(&Message::RequestAnswered { fingerprint, sent_age_ms }, &[sender]);
+        }
         if is_blocked {
             self.log_ended(fingerprint, &format!("router {sender}"));
         }
@@ -194,9 +200,10 @@
     }
 
     /// Records that the store lists the ends of a request.
-    pub fn on_listed_ends(&self, fingerprint: u64, incarnations: &[u64]) {
+    pub fn on_listed_ends(&self, fingerprint: u64, listed: &ListedEnds) {
         let now = self.now();
-        if self.fleet().crashes.on_listed_ends(now, fingerprint, incarnations) {
+        let ListedEnds { ends, was_answered } = listed;
+        if self.fleet().crashes.on_listed_ends(now, fingerprint, ends, *was_answered) {
             self.log_ended(fingerprint, "store");
         }
         self.ended_noticed.notify_one();
@@ -205,9 +212,8 @@
     /// Records that the store no longer lists a request.
     pub fn on_unlisted_ends(&self, fingerprint: u64) {
         if self.fleet().crashes.requests.on_unlisted(fingerprint) {
-            log_released(fingerprint, "store");
+            self.list_ends(fingerprint);
         }
-        self.count_blocked_requests();
     }
 
     /// Reports ends again that no router has acknowledged, and tells some other routers of all requests
@@ -286,7 +292,8 @@
                         (age_ms(now, end.sent_at), age_ms(now, end.ended_at));
                     (end.incarnation, sent_age_ms, ended_age_ms, end.has_begun)
                 });
-                (*fingerprint, ends.collect())
+                let was_answered = fleet.crashes.requests.was_answered(*fingerprint);
+                (*fingerprint, was_answered, ends.collect())
             };
             fingerprints.iter().take(MAX_ROWS).map(row).collect()
         };
--- a/teaselworks_model/src/ended_requests.rs
+++ b/teaselworks_model/src/ended_requests.rs
@@ -198,7 +198,7 @@
         }
         let mut crashes = CrashLedger::default();
         for (fingerprint, (ends, _)) in &self.listed {
-            crashes.on_listed_ends(self.now, *fingerprint, ends);
+            crashes.on_listed_ends(self.now, *fingerprint, ends, false);
         }
         Router { membership, crashes, started_at }
     }
@@ -355,7 +355,7 @@
             for number in 0..self.routers.len() {
                 if !self.is_out_of_touch(number) {
                     let crashes = &mut self.routers[number].crashes;
-                    crashes.on_listed_ends(self.now, fingerprint, &ends);
+                    crashes.on_listed_ends(self.now, fingerprint, &ends, false);
                 }
             }
         }
@@ -456,7 +456,7 @@
             let crashes = &mut self.routers[recipient].crashes;
             match &*message {
                 Message::Ends { from, is_report, fingerprint, ends } => {
-                    crashes.merge_ends(now, *fingerprint, ends);
+                    crashes.merge_ends(now, *fingerprint, ends, false);
                     if *is_report {
                         self.post_ends(recipient, &[*from], false, *fingerprint);
                     } else if crashes.requests.is_unacknowledged(*fingerprint) {
--- a/teaselworks_policy/src/crash/mod.rs
+++ b/teaselworks_policy/src/crash/mod.rs
@@ -226,16 +226,34 @@
     }
 
     /// Adds ends that another router knows of. Returns whether the request is refused from now on.
-    pub fn merge_ends(&mut self, now: Duration, fingerprint: u64, ends: &[ReplicaEnd]) -> bool {
+    pub fn merge_ends(
+        &mut self,
+        now: Duration,
+        fingerprint: u64,
+        ends: &[ReplicaEnd],
+        was_answered: bool,
+    ) -> bool {
         let was_blocked = self.requests.has_reached_limit(fingerprint);
         self.requests.merge(now, fingerprint, ends);
+        if was_answered {
+            self.requests.set_answered_before(fingerprint);
+        }
         self.explain_if_blocked(fingerprint, was_blocked)
     }
 
     /// Adds ends that the store lists. Returns whether the request is refused from now on.
-    pub fn on_listed_ends(&mut self, now: Duration, fingerprint: u64, ends: &[u64]) -> bool {
+    pub fn on_listed_ends(
+        &mut self,
+        now: Duration,
+        fingerprint: u64,
+        ends: &[u64],
+        was_answered: bool,
+    ) -> bool {
         let was_blocked = self.requests.has_reached_limit(fingerprint);
         self.requests.on_listed(now, fingerprint, ends);
+        if was_answered {
+            self.requests.set_answered_before(fingerprint);
+        }
         self.explain_if_blocked(fingerprint, was_blocked)
     }
 
@@ -245,6 +263,10 @@
         if was_blocked || !self.requests.has_reached_limit(fingerprint) {
             return false;
         }
+        // Its ends may well have another cause.
+        if self.requests.was_answered(fingerprint) {
+            return true;
+        }
         let ends = self.requests.ends(fingerprint);
         let incarnations: Vec<u64> = ends.iter().map(|end| end.incarnation).collect();
         self.explain(&incarnations);
--- a/teaselworks_policy/src/crash/requests.rs
+++ b/teaselworks_policy/src/crash/requests.rs
@@ -85,6 +85,8 @@
     announced: usize,
     /// Number of ends that the store lists.
     listed: usize,
+    /// Whether this router observed one of the ends.
+    is_own: bool,
 }
 
 impl Record {
@@ -159,11 +161,32 @@
     /// ```
     pub fn on_ended(&mut self, now: Duration, fingerprint: u64, end: ReplicaEnd, has_peers: bool) {
         self.merge(now, fingerprint, &[end]);
-        if let Some(record) = self.records.get_mut(&fingerprint).filter(|_| has_peers) {
+        let Some(record) = self.records.get_mut(&fingerprint) else { return };
+        record.is_own = true;
+        if has_peers {
             record.unacknowledged_since.get_or_insert(now);
         }
     }
 
+    /// Records that another router or the store knows that a request was answered before replicas ended
+    /// under it.
+    pub fn set_answered_before(&mut self, fingerprint: u64) {
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.was_answered = true;
+        }
+    }
+
+    /// Returns whether a request was answered before replicas ended under it.
+    pub fn was_answered(&self, fingerprint: u64) -> bool {
+        self.records.get(&fingerprint).is_some_and(|record| record.was_answered)
+    }
+
+    /// Returns when the last answered attempt of a request was sent, if that refutes any of these ends.
+    pub fn find_refutation(&self, fingerprint: u64, ends: &[ReplicaEnd]) -> Option<Duration> {
+        let answered_at = self.answered.find(fingerprint)?;
+        ends.iter().any(|end| end.ended_at <= answered_at).then_some(answered_at)
+    }
+
     /// Adds ends that another router or the store knows of. Returns whether any was new.
     pub fn merge(&mut self, now: Duration, fingerprint: u64, ends: &[ReplicaEnd]) -> bool {
         let answered_at = self.answered.find(fingerprint);
@@ -288,14 +311,12 @@
         is_changed
     }
 
-    /// Records that the store no longer lists a request. Returns whether it was refused.
+    /// Records that the store no longer lists a request, whose lease may have lapsed. Returns whether
+    /// this router is to list it again, since it observed one of the ends.
     pub fn on_unlisted(&mut self, fingerprint: u64) -> bool {
-        let was_listed = self.records.get(&fingerprint).is_some_and(|record| record.listed > 0);
-        let was_blocked = was_listed && self.has_reached_limit(fingerprint);
-        if was_listed {
-            self.records.remove(&fingerprint);
-        }
-        was_blocked
+        let Some(record) = self.records.get_mut(&fingerprint) else { return false };
+        record.listed = 0;
+        record.is_own
     }
 
     /// Returns whether the store lists a request.
@@ -303,10 +324,11 @@
         self.records.get(&fingerprint).is_some_and(|record| record.listed > 0)
     }
 
-    /// Takes ends that have another cause from the requests that are not refused for them.
+    /// Takes ends that have another cause from the requests that are not refused for them, or were
+    /// answered before: many callers may send these, so that each replica runs them.
     pub fn explain(&mut self, incarnations: &HashSet<u64>) {
         self.records.retain(|_, record| {
-            if !record.has_reached_limit() {
+            if record.was_answered || !record.has_reached_limit() {
                 record.ends.retain(|end| !incarnations.contains(&end.incarnation));
             }
             !record.ends.is_empty()
