--- a/teaselworks_standin/src/soak/bounds.rs
+++ b/teaselworks_standin/src/soak/bounds.rs
@@ -27,5 +27,8 @@
 pub(super) const RECOVERY_TIME: Duration = Duration::from_secs(3);
 /// Time that a request may take to pass through the proxies.
 pub(super) const PROXY_LATENCY: Duration = Duration::from_millis(200);
+/// Beginning of the identifiers of the tries of a request that crashes replicas; the number of the
+/// request and a hyphen follow.
+pub(super) const REPEATED_PREFIX: &str = "repeated-";
 /// Beginning of the identifiers of requests with a part that crashes replicas.
 pub(super) const CRASHING_PREFIX: &str = "crashing-";
--- a/teaselworks_standin/src/soak/callers.rs
+++ b/teaselworks_standin/src/soak/callers.rs
@@ -12,10 +12,10 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use super::bounds::CRASHING_PREFIX;
+use super::bounds::{CRASHING_PREFIX, REPEATED_PREFIX};
 use super::fleet::{SoakFleet, version_route_prefix};
 use super::record::{Bug, Outcome, Recorder, RequestKind, RequestRecord, Resumption, VersionProbe};
-use super::replica::{body_for, event_count, is_unframed};
+use super::replica::{CRASHING_BODY, body_for, event_count, is_unframed};
 use super::violation::Violation;
 use crate::caller::{Call, Connection, Reply};
 use crate::configuration::{API_KEY, HOST};
@@ -90,6 +90,7 @@
     }
     let number = callers + fleet.routers.len();
     tasks.push(tokio::spawn(caller(number).send_crashing_requests(stop.clone())));
+    tasks.push(tokio::spawn(caller(number + 1).repeat_crashing_request(stop.clone())));
     for router in 0..fleet.routers.len() {
         tasks.push(tokio::spawn(caller(callers + router).probe_versions(router, stop.clone())));
     }
@@ -253,6 +254,21 @@
         }
     }
 
+    /// Sends a request that crashes replicas again and again, to the routers in turn, as one caller does:
+    /// each time under a new identifier.
+    async fn repeat_crashing_request(mut self, stop: CancellationToken) {
+        while !stop.is_cancelled() {
+            tokio::time::sleep(CRASHING_INTERVAL).await;
+            let Some((kind, number)) = self.recorder.crashing_request() else { continue };
+            let id = format!("{REPEATED_PREFIX}{number}-{}", self.next_id());
+            let router = self.routers[self.request_count as usize % self.routers.len()];
+            let call = build_call(kind, &id, 0).with_body(&format!("{CRASHING_BODY}{number}"));
+            tokio::spawn(async move {
+                let _ = crate::caller::call(router, &call).await;
+            });
+        }
+    }
+
     /// Requests the route of the newest configuration from one router until the soak ends, and
     /// records whether the router has it.
     async fn probe_versions(mut self, router: usize, stop: CancellationToken) {
--- a/teaselworks_standin/src/soak/checks.rs
+++ b/teaselworks_standin/src/soak/checks.rs
@@ -9,7 +9,7 @@
     DRAINING_BOUND, PROXY_LATENCY, RECOVERY_TIME, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW,
     STOP_GRACE,
 };
-use super::crash_checks::check_crashing_parts;
+use super::crash_checks::{check_crashing_parts, check_crashing_requests};
 use super::link_checks::{check_cuts, check_funnels, check_leaving, check_rests};
 use super::record::{Arrival, Bug, Observations, Outcome, Recorder, RequestRecord};
 use super::replica::event_count;
@@ -37,6 +37,7 @@
     check_evacuations(&observations, &mut violations);
     check_cold_replicas(&observations, &mut violations);
     check_crashing_parts(&observations, recorder.simulated_bug, &mut violations);
+    check_crashing_requests(&observations, recorder.simulated_bug, &mut violations);
     check_versions(&observations, &mut violations);
     check_resumptions(&observations, &mut violations);
     for (router, at) in &observations.unexpected_exits {
--- a/teaselworks_standin/src/soak/crash_checks.rs
+++ b/teaselworks_standin/src/soak/crash_checks.rs
@@ -1,8 +1,11 @@
-//! Checks of parts of prompts that crash replicas.
+//! Checks of parts of prompts and of requests that crash replicas.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::bounds::{CRASHING_PREFIX, PROXY_LATENCY};
+use teaselworks_policy::crash::MAX_ENDED_REPLICAS;
+
+use super::bounds::{CRASHING_PREFIX, PROXY_LATENCY, REPEATED_PREFIX};
 use super::record::{Arrival, Bug, Observations};
 use super::violation::Violation;
 
@@ -39,3 +42,36 @@
         }
     }
 }
+
+/// Checks that a request no longer reaches replicas once three have ended under it. Each router that
+/// starts meanwhile may have been out of touch, and sends it once more at most.
+pub(super) fn check_crashing_requests(
+    observations: &Observations,
+    bug: Option<Bug>,
+    violations: &mut Vec<Violation>,
+) {
+    let mut runs: BTreeMap<&str, Vec<Duration>> = BTreeMap::new();
+    for arrival in observations.arrivals.iter().filter(|arrival| arrival.has_run) {
+        let Some(id) = arrival.id.strip_prefix(REPEATED_PREFIX) else { continue };
+        let number = id.split('-').next().unwrap_or_default();
+        runs.entry(number).or_default().push(arrival.at);
+    }
+    for (number, mut runs) in runs {
+        runs.sort_unstable();
+        let max_ended = if bug == Some(Bug::RequestsGoOn) { 1 } else { MAX_ENDED_REPLICAS };
+        let Some(last) = runs.get(max_ended - 1) else { continue };
+        let bound = *last + PROXY_LATENCY;
+        let further = runs.iter().filter(|at| **at > bound).count();
+        let end = runs[runs.len() - 1];
+        let starts = observations.router_starts.iter().filter(|at| (runs[0]..end).contains(at));
+        let starts = if bug == Some(Bug::RequestsGoOn) { 0 } else { starts.count() };
+        if further > starts {
+            let details = format!(
+                "request {number}: {further} runs after {bound:?}, {starts} routers started since \
+                 {:?}",
+                runs[0]
+            );
+            violations.push(Violation::new("requests that crash replicas are refused", details));
+        }
+    }
+}
--- a/teaselworks_standin/src/soak/fault.rs
+++ b/teaselworks_standin/src/soak/fault.rs
@@ -7,7 +7,7 @@
 
 use super::bounds::{DRAINING_BOUND, EVACUATION_BOUND, REST, STOP_GRACE};
 use super::fleet::{REPLICA_COUNT, SoakFleet, ZONES};
-use super::record::Bug;
+use super::record::{Bug, RequestKind};
 use super::replica::ReplicaMode;
 use crate::links::Partition;
 use crate::store::Mode;
@@ -84,7 +84,9 @@
 pub(super) fn skipped_time(simulated_bug: Option<Bug>) -> Duration {
     match simulated_bug {
         None | Some(Bug::RefusalsByCutRouter) => Duration::ZERO,
-        Some(Bug::BudgetOfEachRouter) => CUTS_PHASE + PLANNED_ONLY_PHASE + ALL_FAULTS_PHASE,
+        Some(Bug::BudgetOfEachRouter | Bug::RequestsGoOn) => {
+            CUTS_PHASE + PLANNED_ONLY_PHASE + ALL_FAULTS_PHASE
+        }
         Some(Bug::CrashesGoOn) => {
             let before_retries = CUTS_PHASE + PLANNED_ONLY_PHASE + ALL_FAULTS_PHASE;
             before_retries + RETRIES_PHASE + CALM_BEFORE_CRASHES
@@ -125,6 +127,8 @@
     FunnelCallers(usize),
     /// Sends requests with a part that crashes replicas to all routers, until the fault ends.
     CrashingPart,
+    /// Sends a request that crashes replicas to all routers, again and again, until the fault ends.
+    CrashingRequest(RequestKind),
     /// Makes all replicas reject half of the requests.
     RejectRequests,
     /// Ends all leases of the store.
@@ -234,7 +238,8 @@
     /// notice of each other.
     pub(super) fn random_with_retries(fleet: &SoakFleet, random: &mut Pcg32) -> Self {
         let router = random.random_range(0..fleet.routers.len());
-        match random.random_range(0..6) {
+        match random.random_range(0..8) {
+            6 | 7 => Self::random_crashing_request(random),
             0 | 1 => Fault::RejectRequests,
             2 => Fault::EndLeases,
             3 => Fault::DisruptStore(Mode::Silent),
@@ -242,6 +247,17 @@
         }
     }
 
+    /// Draws a kind of request that crashes replicas.
+    pub(super) fn random_crashing_request(random: &mut Pcg32) -> Self {
+        let kind = random.random_range(0..RequestKind::ALL.len());
+        Fault::CrashingRequest(RequestKind::ALL[kind])
+    }
+
+    /// Draws a fault by which requests crash replicas.
+    pub(super) fn random_crash(random: &mut Pcg32) -> Self {
+        if random.random() { Fault::CrashingPart } else { Self::random_crashing_request(random) }
+    }
+
     pub(super) fn is_planned(self) -> bool {
         matches!(
             self,
@@ -274,7 +290,9 @@
             Fault::EndLeases => "leases".to_owned(),
             Fault::DisruptStore(_) => "store".to_owned(),
             Fault::CutFromReplicas(..) => "links".to_owned(),
-            Fault::CrashingPart | Fault::FunnelCallers(_) => "callers".to_owned(),
+            Fault::CrashingPart | Fault::CrashingRequest(_) | Fault::FunnelCallers(_) => {
+                "callers".to_owned()
+            }
             Fault::FreezeLink(link, ..)
             | Fault::DelayLink(link, _)
             | Fault::RefuseConnects(link)
@@ -292,7 +310,7 @@
             Fault::EvacuateZone(_) => {
                 EVACUATION_BOUND + Duration::from_millis(random.random_range(500..2_500))
             }
-            Fault::CrashingPart => CRASHES_DURATION,
+            Fault::CrashingPart | Fault::CrashingRequest(_) => CRASHES_DURATION,
             Fault::RejectRequests => RETRIES_PHASE,
             Fault::FunnelCallers(_) => FUNNEL_DURATION,
             Fault::CutFromReplicas(..) => {
--- a/teaselworks_standin/src/soak/faults.rs
+++ b/teaselworks_standin/src/soak/faults.rs
@@ -83,8 +83,12 @@
                     .unwrap_or_else(|| Fault::random_planned(fleet, random)),
                 Phase::Cuts => Fault::random_cut(fleet, random),
                 Phase::AllFaults => Fault::random_any(fleet, random),
+                Phase::Retries if recorder.simulated_bug == Some(Bug::RequestsGoOn) => {
+                    Fault::random_crashing_request(random)
+                }
                 Phase::Retries => Fault::random_with_retries(fleet, random),
-                Phase::Crashes => Fault::CrashingPart,
+                Phase::Crashes if recorder.simulated_bug.is_some() => Fault::CrashingPart,
+                Phase::Crashes => Fault::random_crash(random),
                 Phase::Calm => Fault::FunnelCallers(random.random_range(0..fleet.routers.len())),
             };
             let until = now + fault.duration(random);
@@ -148,7 +152,9 @@
             continue;
         }
         let Some(crashed_at) = replica.crashed_at.get() else {
-            recorder.observations().crashes.push(now);
+            if recorder.are_crashes_counted() {
+                recorder.observations().crashes.push(now);
+            }
             replica.crashed_at.set(Some(now));
             continue;
         };
@@ -181,6 +187,8 @@
         Some(Bug::RequestsAfterEvacuation | Bug::ColdOverload) => {
             matches!(fault, Fault::RestReplica(_))
         }
+        // Crashed replicas make fewer retries than the simulated budgets allow.
+        Some(Bug::BudgetOfEachRouter) => matches!(fault, Fault::CrashingRequest(_)),
         Some(_) => matches!(fault, Fault::RestReplica(_) | Fault::EvacuateZone(_)),
     };
     if is_hiding {
@@ -251,6 +259,10 @@
             let series = recorder.now().as_millis() as u64;
             recorder.set_crashing_part(Some(FIRST_CRASHING_PART + series));
         }
+        Fault::CrashingRequest(kind) => {
+            let number = recorder.now().as_millis() as u64;
+            recorder.set_crashing_request(Some((kind, number)));
+        }
         Fault::RejectRequests => {
             for replica in &fleet.replicas {
                 replica.set_mode(ReplicaMode::RejectsHalf);
@@ -296,6 +308,7 @@
             router.process.wait_for_exit().await?;
             router.restart_count.fetch_add(1, Ordering::Relaxed);
             router.process.spawn()?;
+            recorder.observations().router_starts.push(recorder.now());
             // Until the new process has installed its signal handlers, any signal terminates it.
             tokio::time::sleep(LOOP_INTERVAL).await;
         }
@@ -316,13 +329,15 @@
             fleet.remove_entry(&removed.upstream.id);
         }
         Fault::FunnelCallers(_) => recorder.set_funnel(None),
-        Fault::CrashingPart => {
+        Fault::CrashingPart | Fault::CrashingRequest(_) => {
             recorder.set_crashing_part(None);
+            recorder.set_crashing_request(None);
             // Requests in progress may still crash replicas.
             tokio::time::sleep(2 * LOOP_INTERVAL).await;
             restart_crashed_replicas(fleet, recorder).await?;
             tokio::time::sleep(CRASH_DOWN_TIME).await;
             restart_crashed_replicas(fleet, recorder).await?;
+            recorder.set_crashes_counted(true);
         }
         Fault::RejectRequests => {
             for replica in &fleet.replicas {
--- a/teaselworks_standin/src/soak/record.rs
+++ b/teaselworks_standin/src/soak/record.rs
@@ -2,7 +2,7 @@
 //! time since the recorder was made, at the start of the soak.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -50,6 +50,8 @@
     StreamsStop,
     /// A part of prompts goes on crashing replicas.
     CrashesGoOn,
+    /// A request goes on crashing replicas.
+    RequestsGoOn,
     /// A stream without framing that lacks its last event looks complete.
     UnframedStreamTruncated,
     /// A router that most callers reach refuses most of them.
@@ -58,7 +60,7 @@
 
 impl Bug {
     /// Every bug that can be simulated.
-    pub const ALL: [Bug; 21] = [
+    pub const ALL: [Bug; 22] = [
         Bug::RunsTwice,
         Bug::RunsAfterRefusal,
         Bug::ForeignResponse,
@@ -78,6 +80,7 @@
         Bug::JoinedVersions,
         Bug::StreamsStop,
         Bug::CrashesGoOn,
+        Bug::RequestsGoOn,
         Bug::UnframedStreamTruncated,
         Bug::RefusalsInFunnel,
     ];
@@ -105,6 +108,7 @@
             Bug::StreamsStop => "resumed streams go on",
             Bug::RefusalsInFunnel => "a router that most callers reach serves them",
             Bug::CrashesGoOn => "parts that crash replicas are blocked",
+            Bug::RequestsGoOn => "requests that crash replicas are refused",
         }
     }
 }
@@ -300,6 +304,8 @@
     pub(super) funnels: Vec<FunnelSpan>,
     /// Times at which replicas crashed on a part of a prompt.
     pub(super) crashes: Vec<Duration>,
+    /// Times at which processes of routers were started again.
+    pub(super) router_starts: Vec<Duration>,
     /// Times during which replicas were cold.
     pub(super) cold_spans: Vec<ColdSpan>,
     /// Routers whose process exited although no fault ended it, and when that was noticed.
@@ -323,6 +329,10 @@
     funnel: AtomicUsize,
     /// Part of prompts that crashes replicas at the moment, 0 if there is none.
     crashing_part: AtomicU64,
+    /// Kind and number of the request that crashes replicas at the moment.
+    crashing_request: Mutex<Option<(RequestKind, u64)>>,
+    /// Whether crashes are recorded as those of a part.
+    are_crashes_counted: AtomicBool,
 }
 
 impl Recorder {
@@ -333,6 +343,8 @@
             simulated_bug,
             funnel: AtomicUsize::new(0),
             crashing_part: AtomicU64::new(0),
+            crashing_request: Mutex::default(),
+            are_crashes_counted: AtomicBool::new(true),
         }
     }
 
@@ -356,6 +368,29 @@
         self.crashing_part.store(part.unwrap_or(0), Ordering::Relaxed);
     }
 
+    /// Returns the kind and the number of the request that crashes replicas at the moment.
+    pub(super) fn crashing_request(&self) -> Option<(RequestKind, u64)> {
+        *self.crashing_request.lock().expect("the lock of the request is never poisoned")
+    }
+
+    /// Sets the request that crashes replicas from now on. Its crashes are not those of a part.
+    pub(super) fn set_crashing_request(&self, request: Option<(RequestKind, u64)>) {
+        *self.crashing_request.lock().expect("the lock of the request is never poisoned") = request;
+        if request.is_some() {
+            self.set_crashes_counted(false);
+        }
+    }
+
+    /// Returns whether crashes are recorded as those of a part.
+    pub(super) fn are_crashes_counted(&self) -> bool {
+        self.are_crashes_counted.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether crashes are recorded as those of a part.
+    pub(super) fn set_crashes_counted(&self, are_counted: bool) {
+        self.are_crashes_counted.store(are_counted, Ordering::Relaxed);
+    }
+
     /// Returns the time since the recorder was made.
     pub(super) fn now(&self) -> Duration {
         self.started_at.elapsed()
--- a/teaselworks_standin/src/soak/replica.rs
+++ b/teaselworks_standin/src/soak/replica.rs
@@ -14,6 +14,8 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 /// Smallest identifier of a part that crashes replicas.
 pub(super) const FIRST_CRASHING_PART: u64 = 0xbad_0000;
+/// Beginning of a body that crashes replicas; the number of the request follows.
+pub(super) const CRASHING_BODY: &str = "Which verse crashes replicas? ";
 /// Streams whose number of events is a multiple of this end with their connection.
 const UNFRAMED_ONE_IN: u32 = 4;
 /// One request in this many is rejected by replicas that reject some.
@@ -166,8 +168,11 @@
     req.head.header("resumes").unwrap_or(req.id())
 }
 
-/// Returns whether the prompt of a request contains a part that crashes replicas.
+/// Returns whether the body of a request, or a part of its prompt, crashes replicas.
 fn is_crashing(req: &ReceivedRequest) -> bool {
+    if req.body.bytes.starts_with(CRASHING_BODY.as_bytes()) {
+        return true;
+    }
     let prompt = req.head.header("x-prompt-prefix").unwrap_or_default();
     let mut parts = prompt.split(',').filter_map(|part| part.split_once(':'));
     parts.any(|(id, _)| u64::from_str_radix(id, 16).is_ok_and(|id| id >= FIRST_CRASHING_PART))
--- a/teaselworks_standin/tests/soak.rs
+++ b/teaselworks_standin/tests/soak.rs
@@ -14,6 +14,10 @@
     513, 514,
 ];
 
+/// Number of soaks with a simulated bug at a time. With more, callers may send too few requests for a bug
+/// to show.
+const CONCURRENT_BUGS: usize = 6;
+
 async fn run_short_soak(seed: u64, duration_s: u64, simulated_bug: Option<Bug>) -> SoakReport {
     let arguments = vec!["router".into()];
     let program = Program { path: env!("CARGO_BIN_EXE_soak").into(), arguments };
@@ -39,10 +43,12 @@
 /// guarantee that the bug violates must report it.
 #[tokio::test]
 async fn every_simulated_bug_is_reported() {
-    let soaks = Bug::ALL.map(|bug| run_short_soak(1, 12, Some(bug)));
-    for (bug, report) in Bug::ALL.into_iter().zip(join_all(soaks).await) {
-        let is_reported =
-            report.violations.iter().any(|violation| violation.guarantee == bug.guarantee());
-        assert!(is_reported, "{bug:?}: {report}\n{:#?}", report.faults);
+    for bugs in Bug::ALL.chunks(CONCURRENT_BUGS) {
+        let soaks = bugs.iter().map(|bug| run_short_soak(1, 12, Some(*bug)));
+        for (bug, report) in bugs.iter().zip(join_all(soaks).await) {
+            let is_reported =
+                report.violations.iter().any(|violation| violation.guarantee == bug.guarantee());
+            assert!(is_reported, "{bug:?}: {report}\n{:#?}", report.faults);
+        }
     }
 }
