--- a/teaselworks/src/datagram/message.rs
+++ b/teaselworks/src/datagram/message.rs
@@ -24,7 +24,7 @@
         #[serde(rename = "o")]
         origin: PackedOrigin,
     },
-    /// Asks for the origin of a stream.
+    /// Requests the origin of a stream.
     #[serde(rename = "ask")]
     StreamQuery {
         /// Key of the stream.
@@ -44,7 +44,7 @@
     /// Replicas broke off requests; sent to the holders of the parts of their prompts.
     #[serde(rename = "crashes")]
     PartCrashes(Vec<CrashRow>),
-    /// Asks whether an answer was written on a part since the first crash, or shortly before.
+    /// Queries whether an answer was written on a part since the first crash, or shortly before.
     #[serde(rename = "suspect")]
     PartSuspected {
         /// Identifier of the part.
@@ -87,10 +87,10 @@
     /// Replicas ended under requests.
     #[serde(rename = "ends")]
     RequestEnds {
-        /// Whether the sender observed the ends and asks the receiver for what it knows.
+        /// Whether the sender observed the ends and requests the record of the receiver.
         #[serde(rename = "q")]
         is_report: bool,
-        /// What the sender knows.
+        /// Record of the sender.
         #[serde(rename = "r")]
         rows: Vec<EndsRow>,
     },
--- a/teaselworks/src/datagram/port.rs
+++ b/teaselworks/src/datagram/port.rs
@@ -61,7 +61,7 @@
         self.send(&Message::StreamAnswer { stream, origin }, &[address]);
     }
 
-    /// Asks the routers at `holders` where a stream began. Returns `None` once all have answered
+    /// Queries the routers at `holders` where a stream began. Returns `None` once all have answered
     /// that they do not know, or 300 ms later.
     pub async fn look_up(&self, stream: u64, holders: &[SocketAddr]) -> Option<StreamOrigin> {
         let mut lookup = self.lookups.begin(stream);
--- a/teaselworks/src/discovery/ended_requests.rs
+++ b/teaselworks/src/discovery/ended_requests.rs
@@ -1,5 +1,5 @@
 //! Task that writes to the store under which requests replicas ended, so that a router that starts
-//! knows it although all others were killed.
+//! has that record although all others were killed.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -63,7 +63,7 @@
         }
     }
 
-    /// Writes what is known of the requests now; removes those of which nothing is.
+    /// Writes the current records of the requests; removes keys without a record.
     async fn write(&mut self, batch: &[u64]) -> Result<(), StoreError> {
         let (mut puts, mut removed) = (Vec::new(), Vec::new());
         for fingerprint in batch {
--- a/teaselworks/src/discovery/watcher.rs
+++ b/teaselworks/src/discovery/watcher.rs
@@ -120,7 +120,7 @@
     /// Waits for changes at the store and applies them. Returns `false` if the store no longer
     /// holds all changes since the last read, so that all items must be read again.
     async fn watch_changes(&mut self) -> Result<bool, StoreError> {
-        // Unless the store answered the last call, the watch asks for an immediate answer, which
+        // Unless the store answered the last call, the watch requests an immediate answer, which
         // shows whether the store can be read. Waiting for changes would only delay it.
         let is_probe = self.store_status != StoreStatus::Answering;
         let wait =
--- a/teaselworks/src/platform/item.rs
+++ b/teaselworks/src/platform/item.rs
@@ -155,7 +155,7 @@
     let key_kind = classify_key(&item.key);
     match key_kind {
         KeyKind::Other => return Ok(ItemValue::Other),
-        // The key alone says that the zone is evacuated, whatever its value.
+        // The key alone states that the zone is evacuated, whatever its value.
         KeyKind::Evacuation(zone) => return Ok(ItemValue::Evacuation(zone.into())),
         KeyKind::BlockedPart(part) => return Ok(ItemValue::BlockedPart(part)),
         KeyKind::EndedRequest(fingerprint) => {
--- a/teaselworks/src/relay/dispatch.rs
+++ b/teaselworks/src/relay/dispatch.rs
@@ -13,7 +13,7 @@
 use super::request_state::RequestState;
 use crate::event;
 
-/// Maximum number of routers that are asked to forward one request.
+/// Maximum number of routers that are queried to forward one request.
 const MAX_DETOURS: usize = 8;
 /// Number of checks for silence within the silence timeout. The timeout counts from the first check
 /// after the request was written, so that a replica may be silent for up to an eighth longer.
--- a/teaselworks/src/relay/ended_requests.rs
+++ b/teaselworks/src/relay/ended_requests.rs
@@ -25,15 +25,15 @@
 const CLOSING_TIME: Duration = Duration::from_millis(10);
 /// Time between two rounds in which ends without an acknowledgement are reported again.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
-/// Number of these rounds after which some other routers get all that is known.
+/// Number of these rounds after which some other routers get the records that concern all.
 const ROUNDS_PER_EXCHANGE: u32 = 4;
 /// Number of routers that get it.
 const EXCHANGE_PEERS: usize = 2;
-/// Number of rounds after the start in which other routers are asked for what they know.
+/// Number of rounds after the start in which other routers are queried for their records.
 const START_ROUNDS: u32 = 8;
 /// Pause after the first of these rounds; each later one is longer by as much.
 const START_INTERVAL: Duration = Duration::from_millis(25);
-/// Number of routers that are asked, and of datagrams in which each answers.
+/// Number of routers that are queried, and of datagrams in which each responds.
 const START_PEERS: usize = 3;
 const MAX_REPLIES: usize = 4;
 /// Maximum number of requests in a datagram.
@@ -168,8 +168,8 @@
         }
     }
 
-    /// Adds the ends that another router knows of. A message that is not a report answers one, or
-    /// tells what its sender knows in any case.
+    /// Adds the ends on record at another router. A message that is not a report is the response to one,
+    /// or an announcement.
     fn on_ends(&self, row: &EndsRow, sender: SocketAddr, is_report: bool) {
         let (fingerprint, was_answered, ends) = (row.0, row.1, &row.2);
         let now = self.now();
@@ -216,8 +216,8 @@
         }
     }
 
-    /// Reports ends again that no router has acknowledged, and tells some other routers of all requests
-    /// that each is to know, until the process ends. A router that was cut off, or has just started,
+    /// Reports ends again that no router has acknowledged, and sends the announced records to some other
+    /// routers, until the process ends. A router that was cut off, or has just started,
     /// learns from that what it missed.
     pub async fn exchange_ended_requests(&self, seed: u64) {
         let mut random = Pcg32::seed_from_u64(seed);
@@ -256,7 +256,7 @@
     }
 
     /// Reports the ends of a request to the routers that remember them. Without such a router, nothing
-    /// else can be known of the request.
+    /// else can be on record.
     fn report_ends(&self, fingerprint: u64) {
         let holders = self.fleet().membership.possible_holders(fingerprint);
         if holders.is_empty() {
@@ -265,7 +265,7 @@
         self.send_ends(&[fingerprint], true, &holders);
     }
 
-    /// Tells all routers of a request if enough replicas ended under it.
+    /// Announces a request to all routers if enough replicas ended under it.
     fn announce(&self, fingerprint: u64) {
         let peers = {
             let mut fleet = self.fleet();
@@ -300,7 +300,7 @@
         self.datagrams.send(&Message::RequestEnds { is_report, rows }, addresses);
     }
 
-    /// Has the store list the ends of a request if a router that starts needs to know of them.
+    /// Has the store list the ends of a request if a router that starts needs them.
     fn list_ends(&self, fingerprint: u64) {
         let age = self.age();
         if self.fleet().crashes.requests.needs_listing(fingerprint, age) {
--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -54,7 +54,7 @@
         by_rank.or(workspace).unwrap_or(self.route.priority)
     }
 
-    /// Sets the fingerprint of the request, whose body is now known.
+    /// Sets the fingerprint of the request after its body was read.
     pub(super) fn set_fingerprint(&mut self, body: &RequestBody) {
         let content = RequestContent {
             workspace: self.workspace.as_ref().map_or("", |workspace| &*workspace.name),
--- a/teaselworks/src/relay/request_state.rs
+++ b/teaselworks/src/relay/request_state.rs
@@ -388,8 +388,8 @@
         ]);
     }
 
-    /// Returns the refusal unchanged, unless it says that the request was not run although an
-    /// earlier attempt may have run it. It is then replaced by one that says that the request may
+    /// Returns the refusal unchanged, unless it states that the request was not run although an
+    /// earlier attempt may have run it. It is then replaced by one that states that the request may
     /// have run.
     pub(super) fn correct_verdict(&self, refusal: Refusal) -> Refusal {
         if self.runs == 0 || refusal.verdict == Verdict::MayHaveRun {
--- a/teaselworks/src/relay/shared.rs
+++ b/teaselworks/src/relay/shared.rs
@@ -58,7 +58,7 @@
     pub(super) ended_noticed: Notify,
     /// Notified when another router has acknowledged such ends.
     pub(super) end_acknowledged: Notify,
-    /// Fingerprints of requests of which the store is to hold what is known.
+    /// Fingerprints of requests whose records are to be written to the store.
     pub(super) request_changes: mpsc::Sender<u64>,
     request_change_receiver: Mutex<Option<mpsc::Receiver<u64>>>,
     /// Exchange of offered load with other routers.
@@ -138,7 +138,7 @@
         self.part_change_receiver.lock().expect("part change lock is never poisoned").take()
     }
 
-    /// Returns the fingerprints of requests of which the store is to hold what is known; `None` if they
+    /// Returns the fingerprints of requests whose records are to be written to the store; `None` if they
     /// were taken before.
     pub fn take_request_changes(&self) -> Option<mpsc::Receiver<u64>> {
         self.request_change_receiver.lock().expect("request change lock is never poisoned").take()
@@ -228,7 +228,7 @@
         opened
     }
 
-    /// Records that a replica has said that it is leaving, and closes its idle connections.
+    /// Records that a replica has stated that it is leaving, and closes its idle connections.
     pub(super) fn on_leaving(&self, service: &Arc<str>, id: &str) {
         if !self.fleet().on_leaving(service, id) {
             return;
--- a/teaselworks/src/relay/stream_origins.rs
+++ b/teaselworks/src/relay/stream_origins.rs
@@ -1,4 +1,4 @@
-//! Tells other routers where streams began, and finds out where a stream began that is resumed.
+//! Notifies other routers where streams began, and finds out where a stream began that is resumed.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/teaselworks/tests/crashing_requests.rs
+++ b/teaselworks/tests/crashing_requests.rs
@@ -336,7 +336,7 @@
     .await;
 }
 
-/// Guards against a router that takes what it cannot know for nothing: no other one answers it.
+/// Guards against a router that counts only its own ends although no other one responds.
 #[tokio::test]
 async fn a_router_that_is_out_of_touch_assumes_further_ends() {
     let mut fleet = start_fleet(4, Load::Chat).await;
--- a/teaselworks/tests/leaving.rs
+++ b/teaselworks/tests/leaving.rs
@@ -11,7 +11,7 @@
 use teaselworks_standin::links::Partition;
 use teaselworks_standin::upstream::{Script, Upstream};
 
-/// Requests that are sent after a replica has said that it is leaving.
+/// Requests that are sent after a replica has stated that it is leaving.
 const LATER_REQUESTS: usize = 40;
 
 /// Makes a replica say that it is leaving with each answer, also with those that reject a request.
@@ -60,7 +60,7 @@
 }
 
 /// Guards against a router that learns from nobody that a replica is leaving, since the answer that
-/// says so came through another router.
+/// states so came through another router.
 #[tokio::test]
 async fn a_router_learns_through_another_one_that_a_replica_is_leaving() {
     let mut fleet = Fleet::start_with_links(program(), 2).await.unwrap();
--- a/teaselworks/tests/overload.rs
+++ b/teaselworks/tests/overload.rs
@@ -196,7 +196,7 @@
     }
 }
 
-/// Guards against refusals by rank or share, and traces of them, where the settings do not ask for
+/// Guards against refusals by rank or share, and traces of them, where the settings do not request
 /// it.
 #[tokio::test]
 async fn nothing_is_divided_without_the_settings() {
--- a/teaselworks/tests/rest.rs
+++ b/teaselworks/tests/rest.rs
@@ -10,7 +10,7 @@
 use teaselworks_standin::fleet::{Fleet, wait_until};
 use teaselworks_standin::upstream::{ReceivedRequest, Script, Upstream};
 
-/// Rest that the replicas ask for.
+/// Rest that the replicas request.
 const REST_S: u32 = 4;
 /// Time after which a replica that asked for rest may count requests that reach it.
 const GRACE: Duration = Duration::from_millis(500);
@@ -21,7 +21,7 @@
 /// Returns the request with a number.
 type MakeCall = fn(u64) -> Call;
 
-/// Makes a replica ask for rest once and answer every other request.
+/// Makes a replica request rest once and answer every other request.
 fn ask_for_rest_once(replica: &Upstream) {
     let has_asked = AtomicBool::new(false);
     replica.set_behaviour(move |req| {
@@ -117,7 +117,7 @@
 }
 
 /// Guards against a brittle replica that falls over because it has to reject one request after the
-/// other, although it asks for no rest.
+/// other, although it requests no rest.
 #[tokio::test]
 async fn a_brittle_replica_that_rejects_a_request_gets_none_for_a_while() {
     let fleet = fleet(1).await;
--- a/teaselworks/tests/settings.rs
+++ b/teaselworks/tests/settings.rs
@@ -143,7 +143,7 @@
     }
 }
 
-/// Guards against services that are divided although the settings do not ask for it, and against a
+/// Guards against services that are divided although the settings do not request it, and against a
 /// misspelt or mistyped switch that is taken for one that is off.
 #[test]
 fn admission_is_off_by_default_and_its_faults_are_located() {
--- a/teaselworks/tests/true_answers.rs
+++ b/teaselworks/tests/true_answers.rs
@@ -56,7 +56,7 @@
     }
 }
 
-/// Checks that an answer says that the request has not run and when to try again.
+/// Checks that an answer states that the request has not run and when to try again.
 fn assert_not_run(reply: &Reply, context: &str) {
     assert_eq!(reply.status(), 503, "{context}");
     let retry_after = reply.head.header("retry-after").and_then(|after| after.parse::<f64>().ok());
--- a/teaselworks_model/src/ended_requests.rs
+++ b/teaselworks_model/src/ended_requests.rs
@@ -1,5 +1,5 @@
 //! Simulation of a request that crashes each engine which runs it, of the sound requests beside it, and
-//! of what routers tell each other of both.
+//! of what routers exchange about both.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -74,8 +74,8 @@
     pub loss: f64,
     /// Simulated time.
     pub length: Duration,
-    /// A simulated bug: routers keep what they saw to themselves.
-    pub tells_nobody: bool,
+    /// A simulated bug: routers exchange nothing.
+    pub has_no_exchange: bool,
 }
 
 /// What happened in a simulation.
@@ -152,7 +152,7 @@
 ///     fault: RouterFault::None,
 ///     loss: 0.0,
 ///     length: Duration::from_secs(3),
-///     tells_nobody: false,
+///     has_no_exchange: false,
 /// };
 /// assert_eq!(run_ended_requests(&load, 1).ended, 3);
 /// ```
@@ -186,7 +186,7 @@
         simulation
     }
 
-    /// Returns a router that knows the others, and what the store lists.
+    /// Returns a router with the list of the others and the records of the store.
     fn start_router(&self, number: usize, started_at: Duration) -> Router {
         let name = |number: usize| -> Arc<str> { format!("router-{number}").into() };
         let names = (0..self.addresses.len()).map(name);
@@ -308,7 +308,7 @@
 
     fn on_ended(&mut self, router: usize, fingerprint: u64, end: ReplicaEnd) {
         let holders = self.holders(router, fingerprint);
-        let has_peers = !holders.is_empty() && !self.load.tells_nobody;
+        let has_peers = !holders.is_empty() && !self.load.has_no_exchange;
         let now = self.now;
         let known = &mut self.routers[router];
         known.crashes.on_ended(now, fingerprint, end, has_peers);
@@ -335,7 +335,7 @@
         let age = self.now.saturating_sub(self.routers[router].started_at);
         let requests = &self.routers[router].crashes.requests;
         let is_away = self.load.fault == RouterFault::StoreAway || self.is_out_of_touch(router);
-        if is_away || self.load.tells_nobody || !requests.needs_listing(fingerprint, age) {
+        if is_away || self.load.has_no_exchange || !requests.needs_listing(fingerprint, age) {
             return;
         }
         let ends = requests.ends(fingerprint).iter().map(|end| end.incarnation).collect();
@@ -381,7 +381,7 @@
         }
     }
 
-    /// Reports ends again that no router has acknowledged, and tells some routers what each is to know.
+    /// Reports ends again that no router has acknowledged, and sends announced records to some routers.
     fn exchange(&mut self) {
         let is_due = |interval: Duration| self.now.as_millis().is_multiple_of(interval.as_millis());
         let (is_report_due, is_exchange_due) = (is_due(REPORT_INTERVAL), is_due(EXCHANGE_INTERVAL));
@@ -428,7 +428,7 @@
     }
 
     fn post(&mut self, from: usize, recipients: &[usize], message: Message) {
-        if self.load.tells_nobody {
+        if self.load.has_no_exchange {
             return;
         }
         let ends = match &message {
--- a/teaselworks_model/src/load.rs
+++ b/teaselworks_model/src/load.rs
@@ -181,7 +181,7 @@
 }
 
 impl Brittle {
-    /// Returns whether the engines say that they are brittle.
+    /// Returns whether the engines state that they are brittle.
     pub(crate) fn is_announced(&self, now: Duration) -> bool {
         is_within(now.as_secs_f64(), self.at_s, self.for_s)
     }
--- a/teaselworks_model/src/run.rs
+++ b/teaselworks_model/src/run.rs
@@ -186,7 +186,7 @@
         }
     }
 
-    /// Tells all routers when the evacuation begins and when it ends.
+    /// Notifies all routers when the evacuation begins and when it ends.
     fn update_evacuation(&mut self) {
         let is_evacuated =
             self.load.evacuation.is_some_and(|evacuation| evacuation.is_in_effect(self.now));
--- a/teaselworks_model/src/streams.rs
+++ b/teaselworks_model/src/streams.rs
@@ -178,7 +178,7 @@
         self.outcome.joined += u64::from(*version != *VERSIONS[stream.version]);
     }
 
-    /// Asks the holders of a stream's origin, twice each since datagrams may be lost.
+    /// Queries the holders of a stream's origin, twice each since datagrams may be lost.
     fn ask(&mut self, router: usize, key: u64) -> Option<Arc<StreamOrigin>> {
         for _ in 0..2 {
             for holder in self.holders(router, key) {
--- a/teaselworks_model/tests/ended_requests.rs
+++ b/teaselworks_model/tests/ended_requests.rs
@@ -26,7 +26,7 @@
         fault,
         loss: 0.02,
         length: Duration::from_secs(12),
-        tells_nobody: false,
+        has_no_exchange: false,
     }
 }
 
@@ -64,8 +64,8 @@
     }
 }
 
-/// Guards against routers that neither read the store nor hear of each other: each may run the request
-/// once, since none can know of the others.
+/// Guards against routers that reach neither the store nor each other: each may run the request
+/// once, since none has the records of the others.
 #[test]
 fn each_router_out_of_touch_runs_the_request_once() {
     for routers in SIZES {
@@ -101,9 +101,9 @@
     }
 }
 
-/// Guards against a check that reports nothing: routers that tell nobody exceed the limit.
+/// Guards against a check that reports nothing: routers that exchange nothing exceed it.
 #[test]
-fn routers_that_tell_nobody_are_reported() {
-    let load = EndedRequestLoad { tells_nobody: true, ..load(7, RouterFault::None) };
+fn routers_without_an_exchange_are_reported() {
+    let load = EndedRequestLoad { has_no_exchange: true, ..load(7, RouterFault::None) };
     assert!(run_ended_requests(&load, 1).ended > MAX_ENDED + IN_PROGRESS + 2);
 }
--- a/teaselworks_policy/src/crash/answered.rs
+++ b/teaselworks_policy/src/crash/answered.rs
@@ -1,4 +1,4 @@
-//! Requests that were lately answered, by their fingerprints.
+//! Requests that were recently answered, by their fingerprints.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/teaselworks_policy/src/crash/mod.rs
+++ b/teaselworks_policy/src/crash/mod.rs
@@ -53,7 +53,7 @@
     pub sent_at: Duration,
     /// Clock reading at which its replica broke off.
     pub crashed_at: Duration,
-    /// Whether an answer was lately written on the part.
+    /// Whether an answer was recently written on the part.
     pub is_proven: bool,
 }
 
@@ -62,7 +62,7 @@
 pub enum CrashAction {
     /// Send reports to the holders of their parts.
     Report(Vec<CrashReport>),
-    /// Ask all routers whether an answer was written on a part, lately or since `first_at`.
+    /// Ask all routers whether an answer was written on a part, recently or since `first_at`.
     Suspect {
         /// Identifier of the part.
         part: u64,
@@ -225,7 +225,7 @@
         self.explain_if_blocked(fingerprint, was_blocked)
     }
 
-    /// Adds ends that another router knows of. Returns whether the request is refused from now on.
+    /// Adds ends from the record of another router. Returns whether the request is refused from now on.
     pub fn merge_ends(
         &mut self,
         now: Duration,
@@ -336,7 +336,7 @@
         }
     }
 
-    /// Returns how many incarnations crashed lately without a request that contains the part.
+    /// Returns how many incarnations crashed recently without a request that contains the part.
     fn count_other_crashes(&self, now: Duration, suspicion: &Suspicion) -> usize {
         let is_other = |(crash, at): &(&u64, &Duration)| {
             now.saturating_sub(**at) < RECENT_TIME && !suspicion.crashes().contains(crash)
--- a/teaselworks_policy/src/crash/proof.rs
+++ b/teaselworks_policy/src/crash/proof.rs
@@ -1,4 +1,4 @@
-//! Parts on which answers were lately written.
+//! Parts on which answers were recently written.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -8,7 +8,7 @@
 /// Maximum number of parts.
 const MAX_PARTS: usize = 4_096;
 
-/// Parts on which answers were lately written, by the clock reading at which the last one began.
+/// Parts on which answers were recently written, by the clock reading at which the last one began.
 #[derive(Debug, Default)]
 pub(super) struct ProvenParts {
     began_at: HashMap<u64, Duration>,
--- a/teaselworks_policy/src/crash/requests.rs
+++ b/teaselworks_policy/src/crash/requests.rs
@@ -1,7 +1,7 @@
 //! Requests under which replicas ended, recognized by their fingerprints.
 //!
 //! Replicas that end while they run a request count against it until one answers it completely. The
-//! routers exchange what they know: the set of the replicas' incarnations only grows until an answer,
+//! routers exchange their records: the set of the replicas' incarnations only grows until an answer,
 //! so that the order of messages does not matter.
 
 use std::collections::{HashMap, HashSet};
@@ -11,14 +11,15 @@
 
 /// Number of replicas that may end under one request before it is refused.
 pub const MAX_ENDED_REPLICAS: usize = 3;
-/// Number of ended replicas from which all routers are told of a request.
+/// Number of ended replicas from which a request is announced to all routers.
 pub const ANNOUNCED_ENDS: usize = 2;
 /// Time after the last end for which a request is remembered, and refused if it has reached the limit.
 pub const REQUEST_MEMORY: Duration = Duration::from_secs(300);
 /// Time after the last end for which a request is refused that was answered before: the cause is more
 /// likely elsewhere, and its next answer refutes the ends.
 const ANSWERED_BLOCK_TIME: Duration = Duration::from_secs(10);
-/// Time that other routers have to acknowledge an end. Later, ends that only they know of are assumed.
+/// Time that other routers have to acknowledge an end. Without an acknowledgement the limit counts as
+/// reached, since their records may contain further ends.
 pub const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(30);
 /// Shortest time in which a replica starts again under the same incarnation. The times in reports differ
 /// by less between routers.
@@ -61,19 +62,19 @@
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BlockedRequest {
-    /// Number of replicas that are known to have ended under it.
+    /// Number of replicas on record that ended under it.
     pub ended: usize,
     /// Time after which the request may be sent again.
     pub retry_after: Duration,
-    /// Whether the limit is known to be reached. Otherwise no other router has acknowledged an end, and
-    /// they may know of more.
+    /// Whether the limit is reached by the ends on record. Otherwise no other router has acknowledged an
+    /// end, and their records may contain more.
     pub is_confirmed: bool,
 }
 
-/// What is known of one request.
+/// Record of one request.
 #[derive(Clone, Debug, Default)]
 struct Record {
-    /// Ends in the order in which they became known.
+    /// Ends in the order in which they were added.
     ends: Vec<ReplicaEnd>,
     /// Clock reading of the last change.
     updated_at: Duration,
@@ -81,7 +82,7 @@
     was_answered: bool,
     /// Clock reading of an end at this router that no other one has acknowledged.
     unacknowledged_since: Option<Duration>,
-    /// Number of ends that this router has told all others of.
+    /// Number of ends that this router has announced to all others.
     announced: usize,
     /// Number of ends that the store lists.
     listed: usize,
@@ -117,7 +118,7 @@
         self.count() >= MAX_ENDED_REPLICAS
     }
 
-    /// Adds an end unless it is known. Of too many ends, the newest are kept.
+    /// Adds an end unless it is on record. Of too many ends, the newest are kept.
     fn add(&mut self, now: Duration, end: &ReplicaEnd) -> bool {
         if self.ends.iter().any(|known| known.is_same(end)) {
             return false;
@@ -143,8 +144,8 @@
 }
 
 impl RequestLedger {
-    /// Records that a replica ended while it ran a request of this router. `has_peers` tells whether
-    /// there are other routers that may know of further ends.
+    /// Records that a replica ended while it ran a request of this router. `has_peers` is
+    /// whether there are other routers, whose records may contain further ends.
     ///
     /// ```
     /// use std::time::Duration;
@@ -168,8 +169,8 @@
         }
     }
 
-    /// Records that another router or the store knows that a request was answered before replicas ended
-    /// under it.
+    /// Records that a request was answered before replicas ended under it, by the record of another
+    /// router or the store.
     pub fn set_answered_before(&mut self, fingerprint: u64) {
         if let Some(record) = self.records.get_mut(&fingerprint) {
             record.was_answered = true;
@@ -187,7 +188,7 @@
         ends.iter().any(|end| end.ended_at <= answered_at).then_some(answered_at)
     }
 
-    /// Adds ends that another router or the store knows of. Returns whether any was new.
+    /// Adds ends from the record of another router or the store. Returns whether any was new.
     pub fn merge(&mut self, now: Duration, fingerprint: u64, ends: &[ReplicaEnd]) -> bool {
         let answered_at = self.answered.find(fingerprint);
         let is_refuted = |end: &ReplicaEnd| answered_at.is_some_and(|at| end.ended_at <= at);
@@ -203,8 +204,7 @@
         is_changed
     }
 
-    /// Records that another router has acknowledged the ends of a request, and has told this one of
-    /// those it knows.
+    /// Records that another router has acknowledged the ends of a request and sent its own record.
     pub fn on_acknowledged(&mut self, fingerprint: u64) {
         if let Some(record) = self.records.get_mut(&fingerprint) {
             record.unacknowledged_since = None;
@@ -212,7 +212,7 @@
     }
 
     /// Records that an attempt which was sent at `sent_at` was answered completely, here or at another
-    /// router: no earlier end was caused by the request. Returns whether any was known.
+    /// router: no earlier end was caused by the request. Returns whether any was on record.
     pub fn on_answered(&mut self, now: Duration, fingerprint: u64, sent_at: Duration) -> bool {
         self.answered.insert(now, fingerprint, sent_at);
         let Some(record) = self.records.get_mut(&fingerprint) else { return false };
@@ -269,7 +269,7 @@
         self.records.get(&fingerprint).map_or(&[], |record| &record.ends)
     }
 
-    /// Returns whether all routers are to be told of a request now, which is then recorded.
+    /// Returns whether a request is to be announced to all routers now, and records that it is.
     pub fn take_announcement(&mut self, fingerprint: u64) -> bool {
         let Some(record) = self.records.get_mut(&fingerprint) else { return false };
         let ends = record.ends.len();
@@ -280,7 +280,7 @@
         is_due
     }
 
-    /// Returns the requests of which all routers are to know.
+    /// Returns the requests whose ends are announced to all routers.
     pub fn announced(&self) -> Vec<u64> {
         let known = self.records.iter().filter(|(_, r)| r.ends.len() >= ANNOUNCED_ENDS);
         known.map(|(fingerprint, _)| *fingerprint).collect()
--- a/teaselworks_policy/src/crash/suspicion.rs
+++ b/teaselworks_policy/src/crash/suspicion.rs
@@ -10,12 +10,12 @@
 /// The same while more replicas crash for another reason than on the part: a part that few requests
 /// have may then be in several crashes by chance.
 const MIN_CRASHES_AMONG_OTHERS: usize = 5;
-/// Number of incarnations, and of crashes one after the other, from which other routers are asked
+/// Number of incarnations, and of crashes one after the other, from which other routers are queried
 /// about the part.
 const ANNOUNCED_CRASHES: usize = 2;
 /// Maximum number of incarnations that are remembered for a part.
 const MAX_CRASHES: usize = 16;
-/// Time for which other routers may say that an answer was written on a part.
+/// Time for which other routers may state that an answer was written on a part.
 const ANSWER_TIME: Duration = Duration::from_millis(800);
 /// The same for a part on which answers were lately written: it shares its requests' fate with a part
 /// that is new, or only now crashes replicas.
@@ -99,7 +99,7 @@
     }
 
     /// Returns whether enough replicas crashed, and other routers had time to object. `others` replicas
-    /// lately crashed without a request that contains the part.
+    /// recently crashed without a request that contains the part.
     pub(super) fn is_ripe(&self, now: Duration, others: usize) -> bool {
         let answer_time = if self.is_proven { PROVEN_ANSWER_TIME } else { ANSWER_TIME };
         let has_waited = self.announced_at.is_some_and(|at| now.saturating_sub(at) >= answer_time);
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -385,7 +385,7 @@
     }
 
     /// Chooses another router to forward a request for a service through; `None` if there is none,
-    /// or each was lately not able to serve such a request.
+    /// or each was recently not able to serve such a request.
     pub fn choose_detour(&mut self, now: Duration, service: &str) -> Option<SocketAddr> {
         let pool = self.pools.get(service)?;
         pool.detours.choose(now, &self.membership.listed_addresses(), &mut self.random)
--- a/teaselworks_policy/src/placement/detour.rs
+++ b/teaselworks_policy/src/placement/detour.rs
@@ -8,10 +8,10 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
-/// Time for which a router that could not serve a request is not asked again.
+/// Time for which a router that could not serve a request is not queried again.
 const UNAVAILABLE_TIME: Duration = Duration::from_secs(2);
 
-/// Routers that could lately not serve requests for a service that others forwarded to them.
+/// Routers that could recently not serve requests for a service that others forwarded to them.
 #[derive(Clone, Debug, Default)]
 pub struct Detours {
     unavailable_until: HashMap<SocketAddr, Duration>,
--- a/teaselworks_policy/src/placement/scan.rs
+++ b/teaselworks_policy/src/placement/scan.rs
@@ -166,7 +166,7 @@
         // Without any report, the other routers have as many requests as they state, or are assumed
         // to have as many as this one each.
         // With reports, their mean is used instead: under the assumption alone, one request of this
-        // router at a replica that has not reported lately would count as one from every router.
+        // router at a replica that has not reported recently would count as one from every router.
         let assumed = match self.pool.peer_requests(self.now) {
             Some(requests) => requests,
             None => own * f64::from(routers.saturating_sub(1)),
--- a/teaselworks_policy/src/shares/gate.rs
+++ b/teaselworks_policy/src/shares/gate.rs
@@ -55,7 +55,7 @@
         returning_per_new: f64,
     ) -> bool {
         if returning_per_new >= 1.0 {
-            // Returning callers get room that no one else asks for.
+            // Returning callers get room that no one else requests.
             return self.admits(now, key, fraction);
         }
         let credit = self.credit(now, key.rank);
--- a/teaselworks_policy/src/shares/plan.rs
+++ b/teaselworks_policy/src/shares/plan.rs
@@ -222,7 +222,7 @@
     rank: usize,
     load: RankLoad,
     /// Load within the share of the workspace, beyond it, and load of returning callers beyond
-    /// [`RETURNING_SHARE`]. The last gets only what no one else asks for.
+    /// [`RETURNING_SHARE`]. The last gets only what no one else requests.
     layers: [f64; 3],
     admitted: [f64; 3],
 }
--- a/teaselworks_policy/src/stream_origin.rs
+++ b/teaselworks_policy/src/stream_origin.rs
@@ -37,7 +37,7 @@
     xxh3_64(request_id.as_bytes())
 }
 
-/// The origins of the streams that lately began at this router, and of those that other routers
+/// The origins of the streams that recently began at this router, and of those that other routers
 /// told it of.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
--- a/teaselworks_policy/src/upstream/cold.rs
+++ b/teaselworks_policy/src/upstream/cold.rs
@@ -1,5 +1,5 @@
 //! Cold replicas: a replica that gets too many requests within a second while it is cold falls
-//! over. It is cold for some seconds after a start, and whenever it says so.
+//! over. It is cold for some seconds after a start, and whenever it states so.
 //!
 //! The bound applies to all routers together. A few routers, the cold subset of the replica, share
 //! a part of it; the rest of the bound is left for routers that do not agree on who these are. For
@@ -62,7 +62,7 @@
     }
 }
 
-/// One router's view of whether a replica is cold, and the requests that it lately sent there.
+/// One router's view of whether a replica is cold, and the requests that it recently sent there.
 #[derive(Clone, Debug, Default)]
 pub struct ColdState {
     until: Option<Duration>,
--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -50,7 +50,7 @@
     cold_bound: Option<ColdBound>,
     /// Clock reading at which this router's shares of the cold replicas were last computed.
     cold_shares_at: Option<Duration>,
-    /// Software versions of the replicas, including those that were gone lately.
+    /// Software versions of the replicas, including those that were gone recently.
     versions: VersionHistory,
     /// Clock reading at which the software versions were last recorded.
     versions_at: Option<Duration>,
@@ -260,7 +260,7 @@
     }
 
     /// Updates how many requests this router may send to each cold replica, unless that was done
-    /// lately.
+    /// recently.
     pub fn update_cold_shares(&mut self, now: Duration, membership: &Membership) {
         let Some(bound) = self.cold_bound else { return };
         let is_recent = |at: Duration| now.saturating_sub(at) < COLD_SHARES_LIFETIME;
@@ -282,7 +282,7 @@
         self.members.iter().any(|member| member.is_evacuated && member.is_in_service())
     }
 
-    /// Sends no new requests to this incarnation of a replica, which has said that it is leaving.
+    /// Sends no new requests to this incarnation of a replica, which has stated that it is leaving.
     /// Returns whether that was not known before.
     pub fn on_leaving(&mut self, id: &str) -> bool {
         self.find_mut(id).is_some_and(|member| !std::mem::replace(&mut member.is_leaving, true))
--- a/teaselworks_policy/src/upstream/pool/capacity.rs
+++ b/teaselworks_policy/src/upstream/pool/capacity.rs
@@ -85,7 +85,7 @@
     }
 
     /// Returns how many requests other routers have in progress at a service that does not report
-    /// its load; `None` if they did not state that lately.
+    /// its load; `None` if they did not state that recently.
     pub(crate) fn peer_requests(&self, now: Duration) -> Option<f64> {
         let is_recent =
             |known: &PeerRequests| now.saturating_sub(known.stated_at) <= MAX_PEER_REQUESTS_AGE;
--- a/teaselworks_policy/src/upstream/pool/versions.rs
+++ b/teaselworks_policy/src/upstream/pool/versions.rs
@@ -43,7 +43,7 @@
         }
     }
 
-    /// Updates what [`Pool::update_versions`] does, unless that was done lately.
+    /// Updates what [`Pool::update_versions`] does, unless that was done recently.
     pub fn refresh_versions(&mut self, now: Duration, settling: Duration) {
         let is_recent = |at: Duration| now.saturating_sub(at) < VERSIONS_LIFETIME;
         if !self.versions_at.is_some_and(is_recent) {
--- a/teaselworks_policy/src/upstream/versions.rs
+++ b/teaselworks_policy/src/upstream/versions.rs
@@ -1,4 +1,4 @@
-//! Software versions that serve, or lately served, in one service.
+//! Software versions that serve, or recently served, in one service.
 //!
 //! A stream of unknown origin may go on where only one version can have begun it. For that, a version
 //! that is new to a router begins no streams there before all routers that follow the store know it.
--- a/teaselworks_policy/src/verdict.rs
+++ b/teaselworks_policy/src/verdict.rs
@@ -11,7 +11,7 @@
     /// reached answered that it did not execute it.
     NotRun,
     /// Possibly executed: the request may have reached an upstream, and no answer of that upstream
-    /// says that it did not execute it.
+    /// states that it did not execute it.
     MayHaveRun,
 }
 
--- a/teaselworks_policy/tests/shares.rs
+++ b/teaselworks_policy/tests/shares.rs
@@ -70,7 +70,7 @@
     OfferedRow { workspace: WorkspaceKey::of(workspace), usual, ranks: ranks.to_vec() }
 }
 
-/// Guards against other decisions than before, and memory that is used, where no setting asks for
+/// Guards against other decisions than before, and memory that is used, where no setting requests
 /// a division.
 #[test]
 fn nothing_is_decided_or_recorded_without_the_settings() {
--- a/teaselworks_policy/tests/shares_status.rs
+++ b/teaselworks_policy/tests/shares_status.rs
@@ -57,7 +57,7 @@
 /// the last slots are not enough for all load within shares.
 #[test]
 fn what_is_refused_beyond_a_share_is_called_so() {
-    // Shares: 105 slots and 60 slots. Within them 130 slots are asked for.
+    // Shares: 105 slots and 60 slots. Within them 130 slots are offered.
     let mut greedy = row(2, 600.0);
     greedy.usual = 40.0;
     let plan = plan(100.0, &[row(1, 70.0), greedy]);
--- a/teaselworks_standin/src/soak/checks.rs
+++ b/teaselworks_standin/src/soak/checks.rs
@@ -57,7 +57,7 @@
 }
 
 /// Checks that no request runs more often than its route allows, and that no at-most-once request
-/// has run whose response says that it did not.
+/// has run whose response states that it did not.
 fn check_runs(observations: &Observations, violations: &mut Vec<Violation>) {
     let run_counts = count_runs(observations);
     for request in &observations.requests {
--- a/teaselworks_standin/src/soak/fault.rs
+++ b/teaselworks_standin/src/soak/fault.rs
@@ -115,7 +115,7 @@
     /// Planned: publishes a new version of the configuration.
     PublishConfiguration,
     /// Planned: adds a replica, lets another leave, and removes that one later. The boolean is
-    /// whether the one that leaves is listed as draining, or says so with its responses only.
+    /// whether the one that leaves is listed as draining, or states so with its responses only.
     ReplaceReplica(usize, bool),
     /// Planned: a replica rejects some requests and requests rest.
     RestReplica(usize),
@@ -147,7 +147,7 @@
     RestartReplica(usize),
     /// Switches a replica to a faulty mode until the fault ends.
     DegradeReplica(usize, ReplicaMode),
-    /// Holds back all bytes of a link until the fault ends. The booleans tell whether the forward
+    /// Holds back all bytes of a link until the fault ends. The booleans state whether the forward
     /// and the backward direction are frozen; if both are false, the backward direction is.
     FreezeLink(Link, bool, bool),
     /// Delays both directions of a link by a number of milliseconds.
--- a/teaselworks_standin/src/soak/fleet.rs
+++ b/teaselworks_standin/src/soak/fleet.rs
@@ -158,7 +158,7 @@
         self.store.remove(&format!("servers/{id}"));
     }
 
-    /// Evacuates a zone. To simulate the bug, only the record says so.
+    /// Evacuates a zone. To simulate the bug, only the record states so.
     pub(super) fn evacuate_zone(&self, zone: &'static str, recorder: &Recorder) {
         if recorder.simulated_bug != Some(Bug::RequestsAfterEvacuation) {
             self.store.put_json(&format!("op/evacuate/{zone}"), &json!({}));
@@ -171,7 +171,7 @@
     }
 
     /// Takes a zone back, whose replicas are cold since just before. To simulate the bug, only the
-    /// record says that they are.
+    /// record states that they are.
     pub(super) fn take_zone_back(&self, zone: &'static str, recorder: &Recorder) {
         let from = recorder.now();
         for replica in self.replicas.iter().filter(|replica| replica.zone == zone) {
--- a/teaselworks_standin/src/soak/mod.rs
+++ b/teaselworks_standin/src/soak/mod.rs
@@ -55,7 +55,7 @@
     pub requests: usize,
     /// Number of requests that got a complete response of status 200.
     pub answered: usize,
-    /// Number of requests refused with status 503, which says that the request has not run.
+    /// Number of requests refused with status 503, which states that the request has not run.
     pub refused: usize,
     /// Faults that were injected, in order, with the time since the injection began.
     pub faults: Vec<(Duration, String)>,
--- a/teaselworks_standin/src/soak/record.rs
+++ b/teaselworks_standin/src/soak/record.rs
@@ -14,7 +14,7 @@
 pub enum Bug {
     /// A replica runs a request twice.
     RunsTwice,
-    /// A replica runs a request whose refusal says that it has not run.
+    /// A replica runs a request whose refusal states that it has not run.
     RunsAfterRefusal,
     /// A caller gets the response to another request.
     ForeignResponse,
--- a/teaselworks_standin/src/soak/replica.rs
+++ b/teaselworks_standin/src/soak/replica.rs
@@ -39,11 +39,11 @@
     RespondsTwice,
     /// It resets connections in the middle of a response.
     TruncatesResponses,
-    /// It says that it is brittle and rejects one request in [`REJECT_ONE_IN`].
+    /// It states that it is brittle and rejects one request in [`REJECT_ONE_IN`].
     IsBrittle,
     /// It rejects one request in [`REJECT_ONE_IN`] and requests [`REST`].
     AsksForRest,
-    /// It responds correctly and says that it is leaving.
+    /// It responds correctly and states that it is leaving.
     IsLeaving,
 }
 
@@ -68,7 +68,7 @@
     pub(super) zone: &'static str,
     /// Time until which the replica is cold, by the clock of the [`Recorder`].
     pub(super) cold_until: Cell<Duration>,
-    /// Whether the replica is being replaced and its entry says so.
+    /// Whether the replica is being replaced and its entry states so.
     pub(super) is_draining: Cell<bool>,
     /// Time at which a request crashed the replica, which is down since.
     pub(super) crashed_at: Cell<Option<Duration>>,
--- a/teaselworks_standin/src/upstream.rs
+++ b/teaselworks_standin/src/upstream.rs
@@ -111,7 +111,7 @@
         Self::rejected_with(req, "")
     }
 
-    /// Rejects the request like [`Script::rejected`] and asks for no other one for some seconds.
+    /// Rejects the request like [`Script::rejected`] and requests no other one for some seconds.
     pub fn asking_for_rest(req: &ReceivedRequest, seconds: u32) -> Self {
         Self::rejected_with(req, &format!("retry-after: {seconds}\r\n"))
     }
