Tests: routers that start without the store, and callers that resume a stream

Cause: routers that restarted in the test without the store had no seeds and served nothing (268 of 360 sound requests refused as no_configuration), so that it proved little; no test with processes had a caller that resumes. Change: the routers of that test have each other as seeds; a test of resumed tries.

--- a/teaselworks/tests/crashing_requests.rs
+++ b/teaselworks/tests/crashing_requests.rs
@@ -41,6 +41,8 @@
     Chat,
     /// A stream that may be resumed, of which more than half a second is written before the crash.
     LongGloss,
+    /// A stream that its caller resumes, each time after another event.
+    ResumedGloss,
     /// A request without a prompt that may run more than once.
     Read,
     /// A request without a prompt that may run once.
@@ -50,14 +52,14 @@
 impl Load {
     fn service(self) -> &'static str {
         match self {
-            Load::Chat | Load::LongGloss => CHAT_SERVICE,
+            Load::Chat | Load::LongGloss | Load::ResumedGloss => CHAT_SERVICE,
             Load::Read | Load::Write => ARCHIVE_SERVICE,
         }
     }
 
     fn replicas(self, fleet: &Fleet) -> &[Upstream] {
         match self {
-            Load::Chat | Load::LongGloss => &fleet.engines,
+            Load::Chat | Load::LongGloss | Load::ResumedGloss => &fleet.engines,
             Load::Read | Load::Write => &fleet.archives,
         }
     }
@@ -67,6 +69,8 @@
         match self {
             Load::Chat => prompted("/chat/a", id, "a:100,101:800,bad:100"),
             Load::LongGloss => prompted("/gloss/a", id, "a:100,101:800,bad:100"),
+            Load::ResumedGloss => prompted("/gloss/a", id, "a:100,101:800,bad:100")
+                .with_header("Last-Event-Id", &id.len().to_string()),
             Load::Read => request("GET", "/read/bad?page=2", id),
             Load::Write => request("POST", "/write/a", id).with_body("bad"),
         }
@@ -77,7 +81,7 @@
         let prompt = format!("a:100,101:800,{:x}:100", 0x10_0000 + number);
         match self {
             Load::Chat => prompted("/chat/a", id, &prompt),
-            Load::LongGloss => prompted("/gloss/a", id, &prompt),
+            Load::LongGloss | Load::ResumedGloss => prompted("/gloss/a", id, &prompt),
             Load::Read => request("GET", &format!("/read/{number}?page=2"), id),
             Load::Write => request("POST", "/write/a", id).with_body(&number.to_string()),
         }
@@ -284,6 +288,12 @@
     check_repeated(4, Load::LongGloss).await;
 }
 
+/// Guards against callers that resume a stream, whose tries differ in the event to resume after.
+#[tokio::test]
+async fn a_stream_that_its_caller_resumes_is_refused() {
+    check_repeated(4, Load::ResumedGloss).await;
+}
+
 /// Guards against requests without a prompt that crash one replica after the other.
 #[tokio::test]
 async fn a_safe_request_that_crashes_replicas_is_refused() {
@@ -326,6 +336,10 @@
 #[tokio::test]
 async fn the_limit_holds_while_the_store_is_away() {
     let mut fleet = start_fleet(4, Load::Write).await;
+    let seeds: Vec<SocketAddr> = fleet.routers.iter().map(Router::peers_address).collect();
+    for router in &mut fleet.routers {
+        router.change_settings(|settings| settings["seeds"] = serde_json::json!(seeds)).unwrap();
+    }
     fleet.store.set_mode(Mode::Silent);
     check_disturbed(&mut fleet, Load::Write, MAX_ENDED_REPLICAS, async |routers| {
         for router in routers {
