A replica behind a proxy that closes late counts as ended

Change: such a connection is watched for 300 ms more, beside the request, before it is kept; its end counts like a refusal.

--- a/teaselworks/src/relay/ended_requests.rs
+++ b/teaselworks/src/relay/ended_requests.rs
@@ -14,6 +14,7 @@
 use teaselworks_policy::verdict::Refusal;
 
 use super::Shared;
+use super::upstream_connection::Connection;
 use crate::datagram::{EndRow, EndsRow, Message};
 use crate::event;
 use crate::platform::ListedEnds;
@@ -23,6 +24,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time within which such a connection is closed if the replica behind a proxy has ended.
 const CLOSING_TIME: Duration = Duration::from_millis(10);
+/// Number of further times that such a connection is checked for its end.
+const WATCH_ROUNDS: u32 = 30;
 /// Time between two rounds in which ends without an acknowledgement are reported again.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of these rounds after which some other routers get the records that concern all.
@@ -42,32 +45,53 @@
 impl Shared {
     /// Returns whether a replica that broke off a request has ended: it refuses connections, or none
     /// can be opened although this router's link to the service is up.
-    pub(super) async fn has_ended(
-        &self,
-        service: &Arc<str>,
-        incarnation: &Incarnation,
-        request: &str,
+    ///
+    /// Records the end if so. Returns once another router remembers it. A connection that is opened is
+    /// watched further: a proxy accepts it for a replica that has ended, and closes it.
+    pub(super) async fn record_if_ended(
+        self: Arc<Self>,
+        service: Arc<str>,
+        incarnation: Incarnation,
+        request: Arc<str>,
+        fingerprint: u64,
+        end: ReplicaEnd,
     ) -> bool {
-        let opening = self.open_connection(service, incarnation, request);
-        match tokio::time::timeout(PROBE_TIMEOUT, opening).await {
+        let opening = self.open_connection(&service, &incarnation, &request);
+        let has_ended = match tokio::time::timeout(PROBE_TIMEOUT, opening).await {
             Ok(Ok(connection)) => {
-                // A proxy accepts connections to a replica that has ended, and closes them.
                 tokio::time::sleep(CLOSING_TIME).await;
                 let is_closed = connection.sender.is_closed();
                 if !is_closed {
-                    connection.release(self.now());
+                    tokio::spawn(self.clone().watch(connection, fingerprint, end));
                 }
                 is_closed
             }
             // The machine answers, so that the link is not the cause.
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => true,
-            Ok(Err(_)) | Err(_) => !self.fleet().is_link_down(service),
+            Ok(Err(_)) | Err(_) => !self.fleet().is_link_down(&service),
+        };
+        if has_ended {
+            self.on_replica_ended(fingerprint, end).await;
+        }
+        has_ended
+    }
+
+    /// Records the end of a replica if a connection to it is closed before any request was sent on it.
+    /// Otherwise keeps the connection for a later request.
+    async fn watch(self: Arc<Self>, connection: Connection, fingerprint: u64, end: ReplicaEnd) {
+        for _ in 0..WATCH_ROUNDS {
+            tokio::time::sleep(CLOSING_TIME).await;
+            if connection.sender.is_closed() {
+                self.on_replica_ended(fingerprint, end).await;
+                return;
+            }
         }
+        connection.release(self.now());
     }
 
     /// Records that a replica ended while it ran a request, and reports that to the routers that
     /// remember it. Returns once one of them has acknowledged it, or after [`ACKNOWLEDGEMENT_TIME`].
-    pub(super) async fn on_replica_ended(&self, fingerprint: u64, end: ReplicaEnd) {
+    async fn on_replica_ended(&self, fingerprint: u64, end: ReplicaEnd) {
         let now = self.now();
         let is_blocked = {
             let mut fleet = self.fleet();
--- a/teaselworks/src/relay/in_flight.rs
+++ b/teaselworks/src/relay/in_flight.rs
@@ -147,13 +147,8 @@
         let (incarnation, id) = (self.incarnation.clone(), request.id.clone());
         let fingerprint = request.fingerprint;
         // The caller may leave meanwhile, which cancels everything else.
-        let recording = tokio::spawn(async move {
-            let has_ended = shared.has_ended(&service, &incarnation, &id).await;
-            if has_ended {
-                shared.on_replica_ended(fingerprint, end).await;
-            }
-            has_ended
-        });
+        let recording = shared.record_if_ended(service, incarnation, id, fingerprint, end);
+        let recording = tokio::spawn(recording);
         let has_ended = recording.await.unwrap_or(false);
         self.log_broken(request, attribution, has_ended);
         if let (Some(parts), CrashAttribution::Parts) = (&request.parts, attribution) {
