Tests count replicas that end, not runs that a router's own close ends

Traced from the logs of two: the fourth run was sent to an engine whose restart the router read a few ms later; it closed the connection, and the engine dropped the request. Three engines ended. Change: runs that a replica dropped since its connection was closed do not count in the test and in the soak's check. The bound is unchanged: three ended replicas, and no run that goes on after the third.

--- a/teaselworks_standin/src/soak/crash_checks.rs
+++ b/teaselworks_standin/src/soak/crash_checks.rs
@@ -53,6 +53,10 @@
     let mut runs: BTreeMap<&str, Vec<Duration>> = BTreeMap::new();
     for arrival in observations.arrivals.iter().filter(|arrival| arrival.has_run) {
         let Some(id) = arrival.id.strip_prefix(REPEATED_PREFIX) else { continue };
+        // Routers close the connections to a replica that has restarted, which ends no replica.
+        if observations.dropped.contains(&arrival.id) {
+            continue;
+        }
         let number = id.split('-').next().unwrap_or_default();
         runs.entry(number).or_default().push(arrival.at);
     }
--- a/teaselworks_standin/src/soak/mod.rs
+++ b/teaselworks_standin/src/soak/mod.rs
@@ -108,6 +108,8 @@
         violations.extend(callers::check_recovery(&fleet).await);
     }
     callers.stop().await;
+    let upstreams = fleet.replicas.iter().map(|replica| &replica.upstream);
+    recorder.observations().dropped = upstreams.flat_map(|u| u.aborted_requests()).collect();
     violations.extend(checks::check(&recorder));
     let routers = fleet.routers.iter().filter(|_| !violations.is_empty());
     let logs = routers.map(|router| router.process.log()).collect();
--- a/teaselworks_standin/src/soak/record.rs
+++ b/teaselworks_standin/src/soak/record.rs
@@ -304,6 +304,8 @@
     pub(super) funnels: Vec<FunnelSpan>,
     /// Times at which replicas crashed on a part of a prompt.
     pub(super) crashes: Vec<Duration>,
+    /// Identifiers of requests that replicas dropped since a router closed the connection.
+    pub(super) dropped: Vec<String>,
     /// Times at which processes of routers were started again.
     pub(super) router_starts: Vec<Duration>,
     /// Times during which replicas were cold.
