Late reports of crashes that a refused request explains count against no part

Change: the incarnations that a refused request explains are remembered for ten seconds, and reports of them count against no part; a router records what a crash says about parts before it looks whether the replica ended. Result: reports_of_explained_crashes_count_against_no_part.

--- a/teaselworks/src/relay/in_flight.rs
+++ b/teaselworks/src/relay/in_flight.rs
@@ -143,6 +143,9 @@
             ended_at: self.shared.now(),
             has_begun: self.first_byte_at.is_some(),
         };
+        if let (Some(parts), CrashAttribution::Parts) = (&request.parts, attribution) {
+            self.shared.on_crashed(parts, end.incarnation, end.sent_at);
+        }
         let (shared, service) = (self.shared.clone(), self.service.clone());
         let (incarnation, id) = (self.incarnation.clone(), request.id.clone());
         let fingerprint = request.fingerprint;
@@ -151,9 +154,6 @@
         let recording = tokio::spawn(recording);
         let has_ended = recording.await.unwrap_or(false);
         self.log_broken(request, attribution, has_ended);
-        if let (Some(parts), CrashAttribution::Parts) = (&request.parts, attribution) {
-            self.shared.on_crashed(parts, end.incarnation, end.sent_at);
-        }
     }
 
     /// Returns what the end of the attempt is attributed to.
--- a/teaselworks_policy/src/crash/mod.rs
+++ b/teaselworks_policy/src/crash/mod.rs
@@ -108,6 +108,8 @@
     /// Incarnations that crashed lately, by the time of the last report, without those that a blocked
     /// part explains.
     recent_crashes: HashMap<u64, Duration>,
+    /// Incarnations whose crashes a refused request explains, by the time at which that was found. Reports of what else they ran may arrive later.
+    explained_crashes: HashMap<u64, Duration>,
     /// Clock reading at which an answer last began that was written for a while, on any prompt.
     last_proof_at: Option<Duration>,
     /// What is to be done at the next [`CrashLedger::tick`].
@@ -127,7 +129,8 @@
         sent_at: Duration,
     ) {
         // A blocked part explains the crash.
-        if parts.iter().any(|part| self.blocked.contains(now, *part)) {
+        let is_blocked = parts.iter().any(|part| self.blocked.contains(now, *part));
+        if is_blocked || self.explained_crashes.contains_key(&incarnation) {
             return;
         }
         for part in parts {
@@ -144,7 +147,8 @@
 
     /// Records a report of this or another router.
     pub fn on_report(&mut self, now: Duration, report: &CrashReport) {
-        if self.blocked.contains(now, report.part) {
+        let is_explained = self.explained_crashes.contains_key(&report.incarnation);
+        if is_explained || self.blocked.contains(now, report.part) {
             return;
         }
         self.note_crash(now, report.incarnation);
@@ -222,7 +226,7 @@
     ) -> bool {
         let was_blocked = self.requests.has_reached_limit(fingerprint);
         self.requests.on_ended(now, fingerprint, end, has_peers);
-        self.explain_if_blocked(fingerprint, was_blocked)
+        self.explain_if_blocked(now, fingerprint, was_blocked)
     }
 
     /// Adds ends from the record of another router. Returns whether the request is refused from now on.
@@ -238,7 +242,7 @@
         if was_answered {
             self.requests.set_answered_before(fingerprint);
         }
-        self.explain_if_blocked(fingerprint, was_blocked)
+        self.explain_if_blocked(now, fingerprint, was_blocked)
     }
 
     /// Adds ends that the store lists. Returns whether the request is refused from now on.
@@ -254,12 +258,12 @@
         if was_answered {
             self.requests.set_answered_before(fingerprint);
         }
-        self.explain_if_blocked(fingerprint, was_blocked)
+        self.explain_if_blocked(now, fingerprint, was_blocked)
     }
 
     /// A request that is refused explains the ends of its replicas, so that neither the parts of its
     /// prompt nor what ran beside it are blamed for them.
-    fn explain_if_blocked(&mut self, fingerprint: u64, was_blocked: bool) -> bool {
+    fn explain_if_blocked(&mut self, now: Duration, fingerprint: u64, was_blocked: bool) -> bool {
         if was_blocked || !self.requests.has_reached_limit(fingerprint) {
             return false;
         }
@@ -269,6 +273,10 @@
         }
         let ends = self.requests.ends(fingerprint);
         let incarnations: Vec<u64> = ends.iter().map(|end| end.incarnation).collect();
+        self.explained_crashes.retain(|_, at| now.saturating_sub(*at) < RECENT_TIME);
+        if self.explained_crashes.len() < MAX_RECENT_CRASHES {
+            self.explained_crashes.extend(incarnations.iter().map(|crash| (*crash, now)));
+        }
         self.explain(&incarnations);
         self.requests.explain(&incarnations.iter().copied().collect());
         true
--- a/teaselworks_policy/tests/ended_requests.rs
+++ b/teaselworks_policy/tests/ended_requests.rs
@@ -168,6 +168,23 @@
     assert!(own.on_unlisted(CRASHING) && own.needs_listing(CRASHING, old));
 }
 
+/// Guards against a sound part that is blocked by reports which arrive after a refused request explained
+/// the crashes.
+#[test]
+fn reports_of_explained_crashes_count_against_no_part() {
+    let mut crashes = CrashLedger::default();
+    for number in 0..3 {
+        crashes.on_ended(at(1_000 * number), CRASHING, end(number, 1_000 * number), false);
+    }
+    for number in 0..3 {
+        crashes.on_crashed(at(2_200), &[7], number, at(1_000 * number));
+    }
+    crashes.on_written(at(2_900), &[8], at(2_300));
+    for ms in (2_200..9_000).step_by(100) {
+        assert!(crashes.tick(at(ms)).is_empty(), "the part is suspected after {ms} ms");
+    }
+}
+
 /// Guards against a sound request that many callers send, and that is refused with the one that crashes
 /// all replicas, since each of them ran both.
 #[test]
