Sound requests that many callers send are not refused for replicas that another request ended

Change: a listing of a request that this router had answered changes nothing; ends that a refused request explains do not count against requests that were answered before, also when they are reported later.

--- a/teaselworks_policy/src/crash/mod.rs
+++ b/teaselworks_policy/src/crash/mod.rs
@@ -224,6 +224,9 @@
         end: ReplicaEnd,
         has_peers: bool,
     ) -> bool {
+        if self.is_explained(fingerprint, &end) {
+            return false;
+        }
         let was_blocked = self.requests.has_reached_limit(fingerprint);
         self.requests.on_ended(now, fingerprint, end, has_peers);
         self.explain_if_blocked(now, fingerprint, was_blocked)
@@ -238,7 +241,9 @@
         was_answered: bool,
     ) -> bool {
         let was_blocked = self.requests.has_reached_limit(fingerprint);
-        self.requests.merge(now, fingerprint, ends);
+        let is_counted = |end: &&ReplicaEnd| !self.is_explained(fingerprint, end);
+        let ends: Vec<ReplicaEnd> = ends.iter().filter(is_counted).copied().collect();
+        self.requests.merge(now, fingerprint, &ends);
         if was_answered {
             self.requests.set_answered_before(fingerprint);
         }
@@ -261,6 +266,13 @@
         self.explain_if_blocked(now, fingerprint, was_blocked)
     }
 
+    /// Returns whether another request that is refused explains an end under a request that was answered
+    /// before.
+    fn is_explained(&self, fingerprint: u64, end: &ReplicaEnd) -> bool {
+        self.explained_crashes.contains_key(&end.incarnation)
+            && self.requests.is_answered(fingerprint)
+    }
+
     /// A request that is refused explains the ends of its replicas, so that neither the parts of its
     /// prompt nor what ran beside it are blamed for them.
     fn explain_if_blocked(&mut self, now: Duration, fingerprint: u64, was_blocked: bool) -> bool {
--- a/teaselworks_policy/src/crash/requests.rs
+++ b/teaselworks_policy/src/crash/requests.rs
@@ -182,6 +182,11 @@
         self.records.get(&fingerprint).is_some_and(|record| record.was_answered)
     }
 
+    /// Returns whether a request was answered before, by its record or this router's memory of answers.
+    pub fn is_answered(&self, fingerprint: u64) -> bool {
+        self.was_answered(fingerprint) || self.answered.find(fingerprint).is_some()
+    }
+
     /// Returns when the last answered attempt of a request was sent, if that refutes any of these ends.
     pub fn find_refutation(&self, fingerprint: u64, ends: &[ReplicaEnd]) -> Option<Duration> {
         let answered_at = self.answered.find(fingerprint)?;
@@ -296,7 +301,13 @@
 
     /// Records that the store lists ends of a request. The times are not listed, so that the ends
     /// count as having come one after the other until now. Returns whether any was new.
+    ///
+    /// A listing may be older than an answer: one of a request that this router had answered changes
+    /// nothing, since the ends that count come from other routers.
     pub fn on_listed(&mut self, now: Duration, fingerprint: u64, incarnations: &[u64]) -> bool {
+        if self.answered.find(fingerprint).is_some() {
+            return false;
+        }
         let end = |incarnation: &u64| ReplicaEnd {
             incarnation: *incarnation,
             sent_at: now,
--- a/teaselworks_policy/tests/ended_requests.rs
+++ b/teaselworks_policy/tests/ended_requests.rs
@@ -199,6 +199,25 @@
     assert!(crashes.requests.ends(SOUND).is_empty());
 }
 
+/// Guards against a sound request that many callers send, and that is refused since it reaches replicas
+/// which the one that crashes them has just ended, or by a listing that its answer has overtaken.
+#[test]
+fn later_ends_and_listings_of_a_request_that_was_answered_do_not_count() {
+    let mut crashes = CrashLedger::default();
+    crashes.requests.on_answered(at(0), SOUND, at(0));
+    for number in 0..3 {
+        crashes.on_ended(at(1_000 * number), CRASHING, end(number, 1_000 * number), false);
+    }
+    for number in 0..3 {
+        let down = ReplicaEnd { has_begun: false, ..end(number, 2_200 + 200 * number) };
+        crashes.on_ended(down.ended_at, SOUND, down, false);
+        crashes.merge_ends(down.ended_at, SOUND, &[down], true);
+    }
+    crashes.on_listed_ends(at(3_000), SOUND, &[7, 8, 9], true);
+    assert!(crashes.requests.ends(SOUND).is_empty());
+    assert!(crashes.requests.blocked(at(3_000), CRASHING).is_some());
+}
+
 /// Guards against a router that keeps ends which another one knows to be refuted.
 #[test]
 fn an_answer_that_another_router_saw_is_found() {
