review: free ports and the end of processes in the stand-ins

Ports are taken below those that the system gives to clients and are free for TCP and UDP, and a script that is ended or takes over 110 s ends its routers.

--- a/review/standin/harness.py
+++ b/review/standin/harness.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -40,9 +41,16 @@
 # --- ports and settings ---------------------------------------------------------------------------
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that is free for TCP and UDP, below those that the system gives to clients."""
+    while True:
+        port = random.randrange(18000, 32000)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(type=kind) as probe:
+                    probe.bind(("127.0.0.1", port))
+            return port
+        except OSError:
+            pass
 
 
 def render(text, fields):
@@ -347,6 +355,8 @@
 
 
 def plain(status, body):
+    """Returns a function that makes an answer with a length to the request with the given head."""
+
     def data(head):
         return answer_head(head, status, [f"Content-Length: {len(body)}"]) + body
     return data
@@ -429,17 +439,19 @@
 def main(case):
     """Runs `case(record, folder)`, which returns whether the rule held and a sentence on it."""
     record = Record(Path(sys.argv[0]).resolve().parent / "record.txt")
-    signal.alarm(115)
 
     async def run(folder):
         # Tasks of the stand-ins are cancelled at the end, in the middle of what they do.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        return await case(record, folder)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.set_exception_handler(lambda *_: None)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(case(record, folder), 110)
 
     with tempfile.TemporaryDirectory() as folder:
         try:
             held, result = asyncio.run(run(folder))
-        except (Unusable, OSError, asyncio.TimeoutError) as error:
+        except (Unusable, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
             record(f"the case could not run: {error!r}")
             print(f"could not run: {error!r}")
             sys.exit(2)
