--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,8 +7,8 @@
 import glob
 import sys
 
-if sys.version_info < (3, 8):
-    sys.exit("the stand-ins need Python 3.8")
+if sys.version_info < (3, 9):
+    sys.exit("the stand-ins need Python 3.9")
 for path in ["review/standins-2/fleet.py", *sorted(glob.glob("review/[4-8]/case.py"))]:
     with open(path) as file:
         ast.parse(file.read(), path)
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -661,7 +661,7 @@
 
     try:
         broken = asyncio.run(limited())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # Also a fault of a stand-in: the case says nothing then.
         show(f"the case could not run: {error!r}")
         return 2
     finally:
