--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -131,8 +131,9 @@
         Some(resumed) if prepared.route.is_resumable => resumed.clone(),
         _ => return Ok(None),
     };
-    let origin =
-        shared.find_stream_origin(&prepared.metadata.id, &resumed, &prepared.service).await;
+    let (id, service) = (&prepared.metadata.id, &prepared.service);
+    let targets = prepared.route.targets.len();
+    let origin = shared.find_stream_origin(id, &resumed, service, targets).await;
     let origin = origin.ok_or(RefusalReason::UnknownStream)?;
     if !prepared.route.has_target(&origin.service) {
         return Err(RefusalReason::NoReplica);
--- a/teaselworks/src/relay/stream_origins.rs
+++ b/teaselworks/src/relay/stream_origins.rs
@@ -35,15 +35,21 @@
         request: &str,
         resumed: &ResumedStream,
         service: &Arc<str>,
+        targets: usize,
     ) -> Option<Arc<StreamOrigin>> {
         let started_at = self.now();
         let (origin, outcome) = self.look_up_origin(resumed, service).await;
         self.metrics.add_stream_lookup(outcome);
+        let memory = self.fleet().list_memory(self.now());
+        let memory_ms = memory.map_or(-1, |memory| memory.as_millis() as i64);
         event::STREAM_LOOKED_UP.log(&[
             event::text("request", &request),
             event::text("stream", &resumed.id),
             event::text("outcome", &outcome),
+            event::text("service", &origin.as_ref().map_or("", |origin| &*origin.service)),
             event::text("version", &origin.as_ref().map_or("", |origin| &*origin.version)),
+            event::number("targets", targets as u64),
+            event::text("memory_ms", &memory_ms),
             event::number("elapsed_ms", self.now().saturating_sub(started_at).as_millis() as u64),
         ]);
         origin
--- a/teaselworks_policy/src/fleet/list_age.rs
+++ b/teaselworks_policy/src/fleet/list_age.rs
@@ -20,6 +20,12 @@
         self.list_confirmed_at = Some(at);
     }
 
+    /// Returns the time for which this router has known the list without a gap; `None` before it has read
+    /// it.
+    pub fn list_memory(&self, now: Duration) -> Option<Duration> {
+        self.list_complete_since.map(|since| now.saturating_sub(since))
+    }
+
     /// Returns the time since the list of upstreams and routers was last known to be complete.
     pub fn list_age(&self, now: Duration) -> Option<Duration> {
         self.list_confirmed_at.map(|at| now.saturating_sub(at))
