--- a/teaselworks/src/daemon/serve.rs
+++ b/teaselworks/src/daemon/serve.rs
@@ -14,7 +14,8 @@
 use super::services::{CACHE, METRICS, SHARED, UPDATER, fleet_settings, random_seed, register};
 use super::{ReloadSignal, StartError, reload, stop};
 use crate::discovery::{
-    BlockedPartWriter, EndedRequestWriter, PeerFallback, Registrar, StateUpdater, StoreWatcher,
+    BlockedPartWriter, EndedRequestWriter, OriginRecordWriter, PeerFallback, Registrar,
+    StateUpdater, StoreWatcher,
 };
 use crate::event;
 use crate::kernel::{ServiceRegistry, Shutdown, ShutdownPhase};
@@ -117,7 +118,7 @@
     let port = CallerPort::new(shared.clone(), settings.limits.file_descriptors);
     let connections = port.connections();
     if let Some(listener) = ports.peers {
-        tokio::spawn(peers::serve(listener, cache, shared.clone(), connections.clone()));
+        tokio::spawn(peers::serve(listener, cache.clone(), shared.clone(), connections.clone()));
     }
     tokio::spawn(receive_datagrams(shared.clone()));
     let writer =
@@ -125,6 +126,9 @@
     tokio::spawn(writer.run());
     let writer = EndedRequestWriter::new(new_store(), shared.clone(), metrics.clone());
     tokio::spawn(writer.run());
+    let writer =
+        OriginRecordWriter::new(new_store(), shared.clone(), cache.clone(), metrics.clone());
+    tokio::spawn(writer.run());
     let ended_shared = shared.clone();
     tokio::spawn(async move { ended_shared.exchange_ended_requests(random_seed()).await });
     let crash_shared = shared.clone();
--- a/teaselworks/src/daemon/services.rs
+++ b/teaselworks/src/daemon/services.rs
@@ -35,7 +35,10 @@
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
     let name = settings.router.name.clone();
     let membership = Membership::new(name, settings.seeds.clone());
-    let fleet = Fleet::new(fleet_settings(settings), membership, random_seed());
+    let mut fleet = Fleet::new(fleet_settings(settings), membership, random_seed());
+    if settings.router.is_first_start {
+        fleet.origin_memory.on_first_start();
+    }
     let zone = settings.router.zone.clone();
     let shared = Arc::new(Shared::new(clock, metrics.clone(), shutdown.clone(), zone, fleet));
     let cache = Arc::new(StoreCache::default());
--- a/teaselworks/src/datagram/lookup.rs
+++ b/teaselworks/src/datagram/lookup.rs
@@ -5,48 +5,48 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use teaselworks_policy::stream_origin::StreamOrigin;
+use teaselworks_policy::stream_origin::{KnownOrigin, StreamKeys};
 use tokio::sync::mpsc;
 
 /// The answer of one router: the origin of the stream, if it has one.
-pub(super) type Answer = (SocketAddr, Option<StreamOrigin>);
+pub(super) type Answer = (SocketAddr, Option<KnownOrigin>);
 
 /// A query that waits, by its number.
 type Waiting = (u64, mpsc::UnboundedSender<Answer>);
 
-/// The queries that wait, by the key of their stream.
+/// The queries that wait, by the keys of their stream.
 #[derive(Debug, Default)]
 pub(super) struct Lookups {
-    waiting: Mutex<HashMap<u64, Vec<Waiting>>>,
+    waiting: Mutex<HashMap<StreamKeys, Vec<Waiting>>>,
     next_number: AtomicU64,
 }
 
 /// A query that waits; it ends when this is dropped.
 pub(super) struct Lookup {
     lookups: Arc<Lookups>,
-    stream: u64,
+    keys: StreamKeys,
     number: u64,
     answers: mpsc::UnboundedReceiver<Answer>,
 }
 
 impl Lookups {
     /// Begins to wait for answers about a stream.
-    pub(super) fn begin(self: &Arc<Self>, stream: u64) -> Lookup {
+    pub(super) fn begin(self: &Arc<Self>, keys: StreamKeys) -> Lookup {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let (sender, answers) = mpsc::unbounded_channel();
-        self.lock().entry(stream).or_default().push((number, sender));
-        Lookup { lookups: self.clone(), stream, number, answers }
+        self.lock().entry(keys).or_default().push((number, sender));
+        Lookup { lookups: self.clone(), keys, number, answers }
     }
 
     /// Passes an answer on to the queries that wait for it.
-    pub(super) fn on_answer(&self, stream: u64, answer: &Answer) {
-        for (_, sender) in self.lock().get(&stream).into_iter().flatten() {
+    pub(super) fn on_answer(&self, keys: StreamKeys, answer: &Answer) {
+        for (_, sender) in self.lock().get(&keys).into_iter().flatten() {
             // A receiver that is gone has its answer already.
             let _ = sender.send(answer.clone());
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<u64, Vec<Waiting>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<StreamKeys, Vec<Waiting>>> {
         self.waiting.lock().expect("lookup lock is never poisoned")
     }
 }
@@ -61,10 +61,10 @@
 impl Drop for Lookup {
     fn drop(&mut self) {
         let mut waiting = self.lookups.lock();
-        let Some(senders) = waiting.get_mut(&self.stream) else { return };
+        let Some(senders) = waiting.get_mut(&self.keys) else { return };
         senders.retain(|(number, _)| *number != self.number);
         if senders.is_empty() {
-            waiting.remove(&self.stream);
+            waiting.remove(&self.keys);
         }
     }
 }
--- a/teaselworks/src/datagram/message.rs
+++ b/teaselworks/src/datagram/message.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use teaselworks_policy::stream_origin::StreamOrigin;
+use teaselworks_policy::stream_origin::{StreamKeys, StreamOrigin};
 
 use super::load_message::LoadMessage;
 
@@ -17,9 +17,9 @@
     /// A resumable stream began; the receiver keeps a copy of its origin.
     #[serde(rename = "began")]
     StreamBegan {
-        /// Key of the stream.
+        /// Keys of the stream.
         #[serde(rename = "s")]
-        stream: u64,
+        keys: PackedKeys,
         /// Where it began.
         #[serde(rename = "o")]
         origin: PackedOrigin,
@@ -27,19 +27,22 @@
     /// Requests the origin of a stream.
     #[serde(rename = "ask")]
     StreamQuery {
-        /// Key of the stream.
+        /// Keys of the stream.
         #[serde(rename = "s")]
-        stream: u64,
+        keys: PackedKeys,
     },
     /// Answers a [`Message::StreamQuery`].
     #[serde(rename = "origin")]
     StreamAnswer {
-        /// Key of the stream.
+        /// Keys of the stream.
         #[serde(rename = "s")]
-        stream: u64,
-        /// Where it began; `None` if the router does not know.
+        keys: PackedKeys,
+        /// Where it began; `None` if the router does not know, or not which of several.
         #[serde(rename = "o")]
         origin: Option<PackedOrigin>,
+        /// Whether equal requests began differently.
+        #[serde(rename = "m")]
+        is_ambiguous: bool,
     },
     /// Replicas broke off requests; sent to the holders of the parts of their prompts.
     #[serde(rename = "crashes")]
@@ -120,6 +123,9 @@
 /// milliseconds, and whether its answer had begun.
 pub type EndRow = (u64, u32, u32, bool);
 
+/// Keys of a stream: that of the request which it answers, and that of the request's content.
+pub type PackedKeys = (u64, u64);
+
 /// Origin of a stream: the service, and the version of its replica's software.
 pub type PackedOrigin = (Arc<str>, Arc<str>);
 
@@ -129,16 +135,26 @@
 }
 
 /// Returns the origin that a message carries.
-pub(super) fn unpack_origin((service, version): PackedOrigin) -> StreamOrigin {
+pub(crate) fn unpack_origin((service, version): PackedOrigin) -> StreamOrigin {
     StreamOrigin { service, version }
 }
 
+/// Returns the keys as a message carries them.
+pub(super) fn pack_keys(keys: StreamKeys) -> PackedKeys {
+    (keys.request, keys.content)
+}
+
+/// Returns the keys that a message carries.
+pub(crate) fn unpack_keys((request, content): PackedKeys) -> StreamKeys {
+    StreamKeys { request, content }
+}
+
 /// Encodes a message.
 ///
 /// ```
 /// use teaselworks::datagram::{Message, decode_message, encode_message};
 ///
-/// let message = Message::StreamQuery { stream: 7 };
+/// let message = Message::StreamQuery { keys: (7, 8) };
 /// assert_eq!(decode_message(&encode_message(&message)), Some(message));
 /// ```
 pub fn encode_message(message: &Message) -> Bytes {
--- a/teaselworks/src/datagram/mod.rs
+++ b/teaselworks/src/datagram/mod.rs
@@ -10,4 +10,5 @@
 
 pub use self::load_message::{LoadMessage, LoadRow};
 pub use self::message::{CrashRow, EndRow, EndsRow, Message, decode_message, encode_message};
+pub(crate) use self::message::{unpack_keys, unpack_origin};
 pub use self::port::DatagramPort;
--- a/teaselworks/src/datagram/port.rs
+++ b/teaselworks/src/datagram/port.rs
@@ -6,19 +6,21 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use teaselworks_policy::stream_origin::StreamOrigin;
+use teaselworks_policy::stream_origin::{KnownOrigin, StreamKeys, StreamOrigin};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
 use super::lookup::Lookups;
-use super::message::{Message, decode_message, encode_message, pack_origin, unpack_origin};
+use super::message::{
+    Message, decode_message, encode_message, pack_keys, pack_origin, unpack_keys, unpack_origin,
+};
 
 /// Largest datagram that is received.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
-/// Time for which a query for the origin of a stream waits for answers.
-const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which such a query is sent again, since datagrams may be lost.
 const LOOKUP_RETRY_INTERVAL: Duration = Duration::from_millis(75);
+/// Time after the first answer that tells an origin for which further answers are awaited.
+const LOOKUP_GRACE: Duration = Duration::from_millis(25);
 /// Pause after an error of the socket, such as a refusal by a router that is down.
 const ERROR_PAUSE: Duration = Duration::from_millis(5);
 
@@ -50,43 +52,55 @@
     }
 
     /// Tells the routers at `holders` where a stream began.
-    pub fn send_origin(&self, stream: u64, origin: &StreamOrigin, holders: &[SocketAddr]) {
-        let origin = pack_origin(origin);
-        self.send(&Message::StreamBegan { stream, origin }, holders);
+    pub fn send_origin(&self, keys: StreamKeys, origin: &StreamOrigin, holders: &[SocketAddr]) {
+        let (keys, origin) = (pack_keys(keys), pack_origin(origin));
+        self.send(&Message::StreamBegan { keys, origin }, holders);
     }
 
     /// Answers a query for the origin of a stream.
-    pub fn answer(&self, stream: u64, origin: Option<&StreamOrigin>, address: SocketAddr) {
-        let origin = origin.map(pack_origin);
-        self.send(&Message::StreamAnswer { stream, origin }, &[address]);
+    pub fn answer(&self, keys: StreamKeys, known: Option<&KnownOrigin>, address: SocketAddr) {
+        let origin = match known {
+            Some(KnownOrigin::One(origin)) => Some(pack_origin(origin)),
+            Some(KnownOrigin::Several) | None => None,
+        };
+        let is_ambiguous = matches!(known, Some(KnownOrigin::Several));
+        let keys = pack_keys(keys);
+        self.send(&Message::StreamAnswer { keys, origin, is_ambiguous }, &[address]);
     }
 
-    /// Queries the routers at `holders` where a stream began. Returns `None` once all have answered
-    /// that they do not know, or 300 ms later.
-    pub async fn look_up(&self, stream: u64, holders: &[SocketAddr]) -> Option<StreamOrigin> {
-        let mut lookup = self.lookups.begin(stream);
+    /// Queries the routers at `holders` where a stream began, and returns what they know together. Waits
+    /// for all of them, for at most `timeout`, and shortly once one has told.
+    pub async fn look_up(
+        &self,
+        keys: StreamKeys,
+        holders: &[SocketAddr],
+        timeout: Duration,
+    ) -> Option<KnownOrigin> {
+        let mut lookup = self.lookups.begin(keys);
         let mut unanswered: HashSet<SocketAddr> = holders.iter().copied().collect();
-        let deadline = Instant::now() + LOOKUP_TIMEOUT;
-        while !unanswered.is_empty() {
+        let mut known: Option<KnownOrigin> = None;
+        let mut deadline = Instant::now() + timeout;
+        while !unanswered.is_empty() && Instant::now() < deadline {
             let asked: Vec<SocketAddr> = unanswered.iter().copied().collect();
-            self.send(&Message::StreamQuery { stream }, &asked);
-            let retry_at = deadline.min(Instant::now() + LOOKUP_RETRY_INTERVAL);
+            self.send(&Message::StreamQuery { keys: pack_keys(keys) }, &asked);
+            let retry_at = Instant::now() + LOOKUP_RETRY_INTERVAL;
             while let Ok(Some((address, origin))) =
-                tokio::time::timeout_at(retry_at, lookup.next_answer()).await
+                tokio::time::timeout_at(retry_at.min(deadline), lookup.next_answer()).await
             {
-                if origin.is_some() {
-                    return origin;
-                }
                 unanswered.remove(&address);
-                if unanswered.is_empty() {
-                    return None;
+                if let Some(origin) = origin {
+                    deadline = deadline.min(Instant::now() + LOOKUP_GRACE);
+                    known = Some(match known {
+                        Some(known) => known.merge(origin),
+                        None => origin,
+                    });
+                }
+                if unanswered.is_empty() || known == Some(KnownOrigin::Several) {
+                    return known;
                 }
-            }
-            if Instant::now() >= deadline {
-                return None;
             }
         }
-        None
+        known
     }
 
     /// Passes each message to `handle`, with the address of its sender, until the process ends.
@@ -99,9 +113,13 @@
                 continue;
             };
             let Some(message) = decode_message(&buffer[..length]) else { continue };
-            if let Message::StreamAnswer { stream, origin } = &message {
-                let origin = origin.clone().map(unpack_origin);
-                self.lookups.on_answer(*stream, &(sender, origin));
+            if let Message::StreamAnswer { keys, origin, is_ambiguous } = &message {
+                let origin = origin.clone().map(|origin| Arc::new(unpack_origin(origin)));
+                let known = match origin {
+                    _ if *is_ambiguous => Some(KnownOrigin::Several),
+                    origin => origin.map(KnownOrigin::One),
+                };
+                self.lookups.on_answer(unpack_keys(*keys), &(sender, known));
             }
             handle(message, sender);
         }
--- a/teaselworks/src/discovery/updater.rs
+++ b/teaselworks/src/discovery/updater.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use teaselworks_policy::configuration::Configuration;
+use teaselworks_policy::origin_memory::RecordedOrigins;
 use teaselworks_policy::upstream::{
     Change, EvacuatedZones, EvacuationChange, ListEntry, Registry, SharedObservations,
 };
@@ -119,6 +120,7 @@
         let mut routers = Vec::new();
         let mut evacuated_zones = Vec::new();
         let mut blocked_parts = Vec::new();
+        let mut recorded_origins = None;
         for item in &snapshot.items {
             match self.decode(item) {
                 Ok(ItemValue::Configuration(configuration)) => {
@@ -129,6 +131,7 @@
                 Ok(ItemValue::EndedRequest(fingerprint, ends)) => {
                     self.shared.on_listed_ends(fingerprint, &ends);
                 }
+                Ok(ItemValue::RecordedOrigins(recorded)) => recorded_origins = Some(recorded),
                 Ok(ItemValue::Upstream(upstream)) => upstreams.push(ListEntry::Upstream(upstream)),
                 Ok(ItemValue::Router(name, address)) => routers.push((name, address)),
                 Ok(ItemValue::Other) => {}
@@ -140,6 +143,7 @@
             zones.replace(now, &evacuated_zones)
         });
         self.shared.replace_listed_parts(&blocked_parts);
+        self.apply_recorded_origins(recorded_origins, snapshot.revision, source);
         let changes = self.registry().replace(now, upstreams);
         self.apply_upstream_changes(&changes, snapshot.revision, source);
         let lost = self.shared.fleet().membership.replace(now, routers);
@@ -204,6 +208,9 @@
             Ok(ItemValue::EndedRequest(fingerprint, ends)) => {
                 self.shared.on_listed_ends(fingerprint, &ends);
             }
+            Ok(ItemValue::RecordedOrigins(recorded)) => {
+                self.apply_recorded_origins(Some(recorded), item.revision, source);
+            }
             Ok(ItemValue::Upstream(upstream)) => {
                 let change = self.registry().put(upstream);
                 self.apply_upstream_changes(change.as_slice(), item.revision, source);
@@ -237,10 +244,38 @@
             }
             KeyKind::BlockedPart(part) => self.shared.on_listed_part(part, false),
             KeyKind::EndedRequest(fingerprint) => self.shared.on_unlisted_ends(fingerprint),
+            KeyKind::RecordedOrigins => self.apply_recorded_origins(None, revision, source),
             KeyKind::Configuration | KeyKind::Other => {}
         }
     }
 
+    fn apply_recorded_origins(
+        &self,
+        recorded: Option<RecordedOrigins>,
+        revision: u64,
+        source: Source,
+    ) {
+        let mut fleet = self.shared.fleet();
+        if fleet.origin_memory.recorded() == recorded.as_ref() {
+            fleet.on_recorded_origins(recorded);
+            return;
+        }
+        fleet.on_recorded_origins(recorded.clone());
+        drop(fleet);
+        let recorded = recorded.unwrap_or_default();
+        let versions: Vec<String> = recorded
+            .versions
+            .iter()
+            .flat_map(|(service, versions)| versions.iter().map(move |v| format!("{service}={v}")))
+            .collect();
+        event::ORIGINS_RECORDED.log(&[
+            event::text("versions", &versions.join(",")),
+            event::number("routes", recorded.routes.len() as u64),
+            event::number("revision", revision),
+            event::text("source", &source),
+        ]);
+    }
+
     fn update_evacuations<C: IntoIterator<Item = EvacuationChange>>(
         &self,
         revision: u64,
--- a/teaselworks/src/metrics.rs
+++ b/teaselworks/src/metrics.rs
@@ -64,14 +64,21 @@
     Told,
     /// Only one version of the service can have begun it.
     Sole,
+    /// Equal requests began streams differently.
+    Ambiguous,
     /// No router is known that can tell.
     Unknown,
 }
 
 impl LookupOutcome {
     /// All outcomes, in the order in which the metrics list them.
-    pub const ALL: [LookupOutcome; 4] =
-        [LookupOutcome::Known, LookupOutcome::Told, LookupOutcome::Sole, LookupOutcome::Unknown];
+    pub const ALL: [LookupOutcome; 5] = [
+        LookupOutcome::Known,
+        LookupOutcome::Told,
+        LookupOutcome::Sole,
+        LookupOutcome::Ambiguous,
+        LookupOutcome::Unknown,
+    ];
 
     /// Returns the name in metrics and logs.
     ///
@@ -85,6 +92,7 @@
             LookupOutcome::Known => "known",
             LookupOutcome::Told => "told",
             LookupOutcome::Sole => "sole",
+            LookupOutcome::Ambiguous => "ambiguous",
             LookupOutcome::Unknown => "unknown",
         }
     }
--- a/teaselworks/src/platform/item.rs
+++ b/teaselworks/src/platform/item.rs
@@ -6,9 +6,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use teaselworks_policy::configuration::Configuration;
+use teaselworks_policy::origin_memory::RecordedOrigins;
 use teaselworks_policy::upstream::Upstream;
 
-use super::{DecodeError, configuration, registration, upstream};
+use super::{DecodeError, configuration, origins, registration, upstream};
 
 /// Key of the operator's configuration.
 const CONFIGURATION_KEY: &str = "op/config";
@@ -18,6 +19,8 @@
 const BLOCKED_PART_KEY_PREFIX: &str = "blocked-parts/";
 /// Prefix of the keys of requests under which replicas ended.
 const ENDED_REQUEST_KEY_PREFIX: &str = "ended-requests/";
+/// Key of the record of where streams can have begun lately.
+pub const ORIGINS_KEY: &str = "stream-origins";
 /// Prefix of the keys of upstreams.
 const UPSTREAM_KEY_PREFIX: &str = "servers/";
 
@@ -43,6 +46,8 @@
     BlockedPart(u64),
     /// The request with this fingerprint, under which replicas ended.
     EndedRequest(u64),
+    /// The record of where streams can have begun lately.
+    RecordedOrigins,
     /// The upstream with this identifier.
     Upstream(&'a str),
     /// The router with this name.
@@ -110,6 +115,9 @@
     if key == CONFIGURATION_KEY {
         return KeyKind::Configuration;
     }
+    if key == ORIGINS_KEY {
+        return KeyKind::RecordedOrigins;
+    }
     if let Some(zone) = key.strip_prefix(EVACUATION_KEY_PREFIX) {
         return KeyKind::Evacuation(zone);
     }
@@ -139,6 +147,8 @@
     BlockedPart(u64),
     /// Fingerprint of a request, and the replicas that ended while they ran it.
     EndedRequest(u64, ListedEnds),
+    /// The record of where streams can have begun lately.
+    RecordedOrigins(RecordedOrigins),
     /// An upstream.
     Upstream(Upstream),
     /// Name of a router, and the address at which other routers reach it.
@@ -163,6 +173,12 @@
             let listed = serde_json::from_slice(value).unwrap_or_default();
             return Ok(ItemValue::EndedRequest(fingerprint, listed));
         }
+        // A record that cannot be read tells nothing, but there is one.
+        KeyKind::RecordedOrigins => {
+            let value = item.value.as_deref().unwrap_or_default();
+            let recorded = origins::decode(value).unwrap_or_default();
+            return Ok(ItemValue::RecordedOrigins(recorded));
+        }
         KeyKind::Configuration | KeyKind::Upstream(_) | KeyKind::Router(_) => {}
     }
     let Some(value) = &item.value else {
@@ -175,6 +191,7 @@
         KeyKind::Evacuation(_)
         | KeyKind::BlockedPart(_)
         | KeyKind::EndedRequest(_)
+        | KeyKind::RecordedOrigins
         | KeyKind::Other => ItemValue::Other,
     })
 }
--- a/teaselworks/src/platform/mod.rs
+++ b/teaselworks/src/platform/mod.rs
@@ -7,6 +7,7 @@
 mod error;
 pub mod headers;
 mod item;
+mod origins;
 mod registration;
 mod store;
 mod upstream;
@@ -14,9 +15,10 @@
 
 pub use self::error::{DecodeError, StoreError};
 pub use self::item::{
-    Item, ItemValue, KeyKind, ListedEnds, blocked_part_key, classify_key, decode_item,
+    Item, ItemValue, KeyKind, ListedEnds, ORIGINS_KEY, blocked_part_key, classify_key, decode_item,
     ended_request_key,
 };
+pub use self::origins::encode_origins;
 pub use self::registration::{registration_key, registration_value};
 pub use self::store::{ItemChange, Lease, Snapshot, Store, WatchResult};
 
--- a/teaselworks/src/platform/store.rs
+++ b/teaselworks/src/platform/store.rs
@@ -252,6 +252,24 @@
         }
     }
 
+    /// Writes a key without a lease if it was last written at `revision`, or does not exist if that is
+    /// 0; returns `false` if that is not so.
+    pub async fn put_if(
+        &mut self,
+        key: &str,
+        value: &[u8],
+        revision: u64,
+    ) -> Result<bool, StoreError> {
+        let put = WirePut { key, value: STANDARD.encode(value), lease: 0 };
+        let expect = json!([{ "key": key, "revision": revision }]);
+        let body = json!({ "expect": expect, "puts": [put], "remove": [] });
+        match self.post("/kv-txn", &body).await {
+            Ok(_) => Ok(true),
+            Err(StoreError::Status(412)) => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
     /// Removes a key; one that does not exist is no error.
     pub async fn remove(&mut self, key: &str) -> Result<(), StoreError> {
         self.remove_all(&[key.to_owned()]).await
--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -16,6 +16,7 @@
 use teaselworks_policy::deadline::Deadline;
 use teaselworks_policy::placement::Prompt;
 use teaselworks_policy::shares::Class;
+use teaselworks_policy::stream_origin::{StreamKeys, stream_key};
 use teaselworks_policy::verdict::RefusalReason;
 
 use super::Shared;
@@ -68,6 +69,11 @@
         self.fingerprint = content.fingerprint();
     }
 
+    /// Returns the keys of the stream that answers the request.
+    pub(super) fn stream_keys(&self) -> StreamKeys {
+        StreamKeys { request: stream_key(&self.metadata.id), content: self.fingerprint }
+    }
+
     /// Returns the prompt; `None` for a request of a route without prompts, whatever its headers
     /// say.
     pub(super) fn prompt(&self) -> Option<&Prompt> {
--- a/teaselworks/src/relay/request_state.rs
+++ b/teaselworks/src/relay/request_state.rs
@@ -41,6 +41,8 @@
     pub(super) origin: Origin,
     /// Where the stream began that this request answers or resumes; `None` before its first event.
     stream_origin: Option<Arc<StreamOrigin>>,
+    /// Whether the origin was recorded for callers that come back.
+    is_origin_recorded: bool,
 }
 
 impl RequestState {
@@ -67,6 +69,7 @@
             is_handed_over: false,
             origin,
             stream_origin,
+            is_origin_recorded: false,
         }
     }
 
@@ -88,13 +91,15 @@
     /// Records that the first event of a stream arrived from a replica with this software version.
     /// Other routers are notified before the caller can come back with the event.
     pub(super) fn on_first_event(&mut self, version: &Arc<str>) {
-        if self.stream_origin.is_some() || !self.prepared.route.is_resumable {
+        if self.is_origin_recorded || !self.prepared.route.is_resumable {
             return;
         }
+        self.is_origin_recorded = true;
         let service = self.prepared.service.clone();
-        let origin = StreamOrigin { service, version: version.clone() };
-        self.shared.on_stream_began(&self.prepared.metadata.id, &origin);
-        self.stream_origin = Some(Arc::new(origin));
+        let version = version.clone();
+        let origin =
+            self.stream_origin.get_or_insert_with(|| Arc::new(StreamOrigin { service, version }));
+        self.shared.on_stream_began(self.prepared.stream_keys(), origin);
     }
 
     /// Returns the time after the deadline for which the answer of an upstream is awaited.
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -121,7 +121,7 @@
 ///
 /// # Errors
 ///
-/// - `UnknownStream`: no router is known that can tell.
+/// - `UnknownStream`: no router is known that can tell, and more than one origin is possible.
 /// - `NoReplica`: the route no longer sends requests to that service.
 async fn bind_to_origin(
     shared: &Shared,
@@ -131,9 +131,7 @@
         Some(resumed) if prepared.route.is_resumable => resumed.clone(),
         _ => return Ok(None),
     };
-    let (id, service) = (&prepared.metadata.id, &prepared.service);
-    let targets = prepared.route.targets.len();
-    let origin = shared.find_stream_origin(id, &resumed, service, targets).await;
+    let origin = shared.find_stream_origin(prepared, &resumed).await;
     let origin = origin.ok_or(RefusalReason::UnknownStream)?;
     if !prepared.route.has_target(&origin.service) {
         return Err(RefusalReason::NoReplica);
--- a/teaselworks/src/relay/shared.rs
+++ b/teaselworks/src/relay/shared.rs
@@ -111,7 +111,7 @@
     /// Activates a configuration; returns false, and changes nothing, if the active one has the
     /// same or a higher version.
     pub fn set_configuration(&self, configuration: Configuration) -> bool {
-        let is_newer = self.fleet().set_configuration(configuration);
+        let is_newer = self.fleet().set_configuration(self.now(), configuration);
         self.configuration_set.notify_waiters();
         is_newer
     }
--- a/teaselworks/src/relay/stream_origins.rs
+++ b/teaselworks/src/relay/stream_origins.rs
@@ -2,88 +2,96 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use teaselworks_policy::stream_origin::{StreamOrigin, stream_key};
+use teaselworks_policy::stream_origin::{KnownOrigin, StreamKeys, StreamOrigin, stream_key};
 
 use super::Shared;
-use crate::datagram::Message;
+use super::request::PreparedRequest;
+use crate::datagram::{Message, unpack_keys, unpack_origin};
 use crate::event;
 use crate::metrics::LookupOutcome;
-use crate::platform::headers::ResumedStream;
+use crate::platform::headers::{self, ResumedStream};
+
+/// Longest wait for other routers to tell where a stream began.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait if routes and lists leave one possible origin.
+const SOLE_LOOKUP_TIMEOUT: Duration = Duration::from_millis(100);
 
 impl Shared {
     /// Records that a stream began, here and at the routers that hold copies of its origin.
-    ///
-    /// `request` is the identifier of the request whose answer brings the first event.
-    pub(super) fn on_stream_began(&self, request: &str, origin: &StreamOrigin) {
-        let stream = stream_key(request);
+    pub(super) fn on_stream_began(&self, keys: StreamKeys, origin: &StreamOrigin) {
         let holders = {
             let now = self.now();
             let mut fleet = self.fleet();
-            fleet.stream_origins.record(now, stream, origin.clone());
-            fleet.membership.holders(stream)
+            fleet.stream_origins.record(now, keys, origin);
+            fleet.membership.holders(keys.content)
         };
-        self.datagrams.send_origin(stream, origin, &holders);
+        self.datagrams.send_origin(keys, origin, &holders);
     }
 
-    /// Finds out where the stream `resumed` began, which the request `request` for `service` resumes.
+    /// Finds out where the stream `resumed` began, which the request `prepared` resumes.
     ///
-    /// Returns `None` if neither this router nor one that may have a copy has it, and more than one
-    /// software version can have begun it.
+    /// Returns `None` if neither this router nor one that may have a copy has it, and routes and lists
+    /// leave more than one possibility or may have, as far as this router knows.
     pub(super) async fn find_stream_origin(
         &self,
-        request: &str,
+        prepared: &PreparedRequest,
         resumed: &ResumedStream,
-        service: &Arc<str>,
-        targets: usize,
     ) -> Option<Arc<StreamOrigin>> {
         let started_at = self.now();
-        let (origin, outcome) = self.look_up_origin(resumed, service).await;
+        let (origin, outcome) = self.look_up_origin(prepared, resumed).await;
         self.metrics.add_stream_lookup(outcome);
-        let memory = self.fleet().list_memory(self.now());
+        let now = self.now();
+        let memory = self.fleet().origin_memory.complete_for(now);
         let memory_ms = memory.map_or(-1, |memory| memory.as_millis() as i64);
         event::STREAM_LOOKED_UP.log(&[
-            event::text("request", &request),
+            event::text("request", &prepared.metadata.id),
             event::text("stream", &resumed.id),
+            event::text("fingerprint", &format_args!("{:x}", prepared.fingerprint)),
             event::text("outcome", &outcome),
             event::text("service", &origin.as_ref().map_or("", |origin| &*origin.service)),
             event::text("version", &origin.as_ref().map_or("", |origin| &*origin.version)),
-            event::number("targets", targets as u64),
+            event::number("targets", prepared.route.targets.len() as u64),
             event::text("memory_ms", &memory_ms),
-            event::number("elapsed_ms", self.now().saturating_sub(started_at).as_millis() as u64),
+            event::number("elapsed_ms", now.saturating_sub(started_at).as_millis() as u64),
         ]);
         origin
     }
 
-    /// Looks for the origin of a stream here, at other routers, and in what the list of upstreams
-    /// allows.
+    /// Looks for the origin of a stream here, at other routers, and in what routes and lists allow.
     async fn look_up_origin(
         &self,
+        prepared: &PreparedRequest,
         resumed: &ResumedStream,
-        service: &Arc<str>,
     ) -> (Option<Arc<StreamOrigin>>, LookupOutcome) {
-        let stream = stream_key(&resumed.id);
-        let (known, sole, holders) = {
+        let keys = StreamKeys { request: stream_key(&resumed.id), content: prepared.fingerprint };
+        let host = headers::host(&prepared.headers, &prepared.target).unwrap_or_default();
+        let (named, known, sole, holders) = {
             let now = self.now();
             let mut fleet = self.fleet();
-            let known = fleet.stream_origins.find(now, stream);
-            let sole = fleet.sole_origin(now, service).map(Arc::new);
-            (known, sole, fleet.membership.holders(stream))
+            let named = fleet.stream_origins.find_request(now, keys.request);
+            let known = fleet.stream_origins.find(now, keys);
+            let sole = fleet.sole_origin(now, host, prepared.target.path()).map(Arc::new);
+            (named, known, sole, fleet.membership.possible_holders(keys.content))
         };
-        if known.is_some() {
-            return (known, LookupOutcome::Known);
+        match named {
+            Some(KnownOrigin::One(origin)) => return (Some(origin), LookupOutcome::Known),
+            Some(KnownOrigin::Several) => return (None, LookupOutcome::Ambiguous),
+            None => {}
         }
-        // No router has the origin of a stream that the caller does not name, unless another router
-        // forwards it.
-        if !resumed.is_named && sole.is_some() {
-            return (sole, LookupOutcome::Sole);
-        }
-        if let Some(origin) = self.datagrams.look_up(stream, &holders).await {
-            return (Some(Arc::new(origin)), LookupOutcome::Told);
-        }
-        match sole {
-            Some(origin) => (Some(origin), LookupOutcome::Sole),
-            None => (None, LookupOutcome::Unknown),
+        let timeout = if sole.is_some() { SOLE_LOOKUP_TIMEOUT } else { LOOKUP_TIMEOUT };
+        let told = self.datagrams.look_up(keys, &holders, timeout).await;
+        let outcome = if told.is_some() { LookupOutcome::Told } else { LookupOutcome::Known };
+        let found = match (known, told) {
+            (Some(known), Some(told)) => Some(known.merge(told)),
+            (known, told) => known.or(told),
+        };
+        match (found, sole) {
+            (Some(KnownOrigin::One(origin)), _) => (Some(origin), outcome),
+            (Some(KnownOrigin::Several), _) => (None, LookupOutcome::Ambiguous),
+            (None, Some(origin)) => (Some(origin), LookupOutcome::Sole),
+            (None, None) => (None, LookupOutcome::Unknown),
         }
     }
 
@@ -91,15 +99,16 @@
     pub fn on_message(&self, message: Message, sender: SocketAddr) {
         let now = self.now();
         match message {
-            Message::StreamBegan { stream, origin: (service, version) }
-            | Message::StreamAnswer { stream, origin: Some((service, version)) } => {
-                let origin = StreamOrigin { service, version };
-                self.fleet().stream_origins.record(now, stream, origin);
+            Message::StreamBegan { keys, origin }
+            | Message::StreamAnswer { keys, origin: Some(origin), .. } => {
+                let (keys, origin) = (unpack_keys(keys), unpack_origin(origin));
+                self.fleet().stream_origins.record(now, keys, &origin);
             }
             Message::StreamAnswer { origin: None, .. } => {}
-            Message::StreamQuery { stream } => {
-                let origin = self.fleet().stream_origins.find(now, stream);
-                self.datagrams.answer(stream, origin.as_deref(), sender);
+            Message::StreamQuery { keys } => {
+                let keys = unpack_keys(keys);
+                let known = self.fleet().stream_origins.find(now, keys);
+                self.datagrams.answer(keys, known.as_ref(), sender);
             }
             Message::Load(message) => self.on_load_message(message, sender),
             message @ (Message::RequestEnds { .. } | Message::RequestAnswered { .. }) => {
--- a/teaselworks/src/settings/mod.rs
+++ b/teaselworks/src/settings/mod.rs
@@ -51,6 +51,9 @@
     pub name: Arc<str>,
     /// Availability zone of the router's VM.
     pub zone: Arc<str>,
+    /// Whether the whole fleet starts for the first time, so that no stream has begun before.
+    #[serde(default)]
+    pub is_first_start: bool,
 }
 
 /// Addresses that a router listens on.
--- a/teaselworks_model/src/router.rs
+++ b/teaselworks_model/src/router.rs
@@ -47,7 +47,7 @@
     };
     membership.on_registered(Duration::ZERO, Duration::MAX);
     let mut fleet = Fleet::new(settings, membership, seed + u64::from(number));
-    fleet.set_configuration(configuration(load));
+    fleet.set_configuration(Duration::ZERO, configuration(load));
     for engine in 0..load.engines.count {
         fleet.apply(Duration::ZERO, &Change::Serving(upstream_for_engine(load, engine)));
     }
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -28,6 +28,7 @@
 use crate::demand::DemandEstimator;
 use crate::durations::RouteDurations;
 use crate::membership::Membership;
+use crate::origin_memory::OriginMemory;
 use crate::placement::{Placement, PlacementRequest, PlacementSettings, Refused, try_place};
 use crate::retry::RetryBudget;
 use crate::shares::{Admission, Shares};
@@ -68,6 +69,8 @@
     pub membership: Membership,
     /// Where resumable streams began.
     pub stream_origins: StreamOrigins,
+    /// Where streams can have begun that no router tells the origin of.
+    pub origin_memory: OriginMemory,
     /// Parts of prompts that may crash replicas.
     pub crashes: CrashLedger,
     /// Clock reading at which the list of upstreams and routers was last known to be complete.
@@ -96,6 +99,7 @@
             connect_times: ConnectTimes::default(),
             membership,
             stream_origins: StreamOrigins::default(),
+            origin_memory: OriginMemory::default(),
             crashes: CrashLedger::default(),
             list_confirmed_at: None,
             list_complete_since: None,
@@ -119,11 +123,12 @@
     /// same or a higher version.
     ///
     /// Another router or a delayed response of the store may deliver an older configuration.
-    pub fn set_configuration(&mut self, configuration: Configuration) -> bool {
+    pub fn set_configuration(&mut self, now: Duration, configuration: Configuration) -> bool {
         let active_version = self.configuration.as_ref().map(|configuration| configuration.version);
         if active_version.is_some_and(|version| version >= configuration.version) {
             return false;
         }
+        self.remember_routes(now, &configuration);
         self.durations.retain(&configuration.routes);
         self.deadlines.retain(&configuration.routes);
         self.demand.retain(&configuration.routes);
@@ -178,6 +183,8 @@
             pool.set_cold_bound(cold_bound(configuration, service, &self.settings));
         }
         pool.put(upstream.clone());
+        let recorded = self.origin_memory.recorded();
+        pool.set_recorded_versions(recorded.and_then(|recorded| recorded.versions.get(service)));
         pool.set_cold_remaining(now, &upstream.id, upstream.cold_remaining);
         pool.set_evacuated_zones(&self.evacuated_zones);
         pool.update_versions(now, self.settings.version_settling());
--- a/teaselworks_policy/src/fleet/list_age.rs
+++ b/teaselworks_policy/src/fleet/list_age.rs
@@ -17,15 +17,13 @@
         if has_gap {
             self.list_complete_since = Some(at);
         }
+        let max_age = self.settings.max_list_age();
+        if confirmed_at.is_none_or(|confirmed_at| at - confirmed_at > max_age) {
+            self.origin_memory.on_gap(at);
+        }
         self.list_confirmed_at = Some(at);
     }
 
-    /// Returns the time for which this router has known the list without a gap; `None` before it has read
-    /// it.
-    pub fn list_memory(&self, now: Duration) -> Option<Duration> {
-        self.list_complete_since.map(|since| now.saturating_sub(since))
-    }
-
     /// Returns the time since the list of upstreams and routers was last known to be complete.
     pub fn list_age(&self, now: Duration) -> Option<Duration> {
         self.list_confirmed_at.map(|at| now.saturating_sub(at))
--- a/teaselworks_policy/src/lib.rs
+++ b/teaselworks_policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod durations;
 pub mod fleet;
 pub mod membership;
+pub mod origin_memory;
 pub mod placement;
 pub mod retry;
 pub mod shares;
--- /dev/null
+++ b/teaselworks_policy/src/origin_memory.rs
@@ -0,0 +1,248 @@
+//! Where streams can have begun lately, by the routes in force and the versions listed meanwhile.
+//!
+//! A stream whose origin no router tells goes on only where every router must have begun it alike. Only a
+//! router that has known routes and lists for as long as streams last can conclude that, or one that has
+//! read a record of those times: a process that started a moment ago remembers nothing.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::configuration::{Kind, Route, Routes};
+use crate::stream_origin::RETENTION;
+
+/// Time after which a record drops what nothing shows any more. It is longer than [`RETENTION`] by more
+/// than the lists of two routers differ, so that none adds again what another one dropped.
+const RECORD_RETENTION: Duration = Duration::from_secs(75);
+/// Maximum number of routes that are remembered after they were replaced.
+const MAX_REPLACED_ROUTES: usize = 256;
+
+/// Where streams can have begun lately, as the store keeps it for routers that start or were out of
+/// touch.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RecordedOrigins {
+    /// Fingerprints of the stream routes in force, see [`route_fingerprint`].
+    pub routes: BTreeSet<u64>,
+    /// Listed software versions of each service with stream routes.
+    pub versions: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+}
+
+impl RecordedOrigins {
+    /// Adds what another record has.
+    pub fn extend(&mut self, other: &RecordedOrigins) {
+        self.routes.extend(&other.routes);
+        for (service, versions) in &other.versions {
+            self.versions.entry(service.clone()).or_default().extend(versions.iter().cloned());
+        }
+    }
+
+    /// Drops what another record does not have.
+    fn retain(&mut self, other: &RecordedOrigins) {
+        self.routes.retain(|fingerprint| other.routes.contains(fingerprint));
+        self.versions.retain(|service, versions| {
+            let kept = other.versions.get(service);
+            versions.retain(|version| kept.is_some_and(|kept| kept.contains(version)));
+            !versions.is_empty()
+        });
+    }
+}
+
+/// Returns a hash of where the stream routes of a table send requests; weights do not matter.
+///
+/// ```
+/// use teaselworks_policy::configuration::{Kind, Route, Routes};
+/// use teaselworks_policy::origin_memory::route_fingerprint;
+///
+/// let table = |kinds: &[Kind]| {
+///     Routes::new(kinds.iter().zip(["/a/", "/b/"]).map(|(kind, at)| Route::example(*kind, at)))
+/// };
+/// let streams = route_fingerprint(&table(&[Kind::Stream]));
+/// assert_eq!(streams, route_fingerprint(&table(&[Kind::Stream, Kind::Idempotent])));
+/// assert_ne!(streams, route_fingerprint(&table(&[Kind::Stream, Kind::Stream])));
+/// ```
+pub fn route_fingerprint(routes: &Routes) -> u64 {
+    let mut streams: Vec<(&str, &str, BTreeSet<&str>)> = stream_routes(routes)
+        .map(|route| (&*route.host, &*route.prefix, target_services(route).collect()))
+        .collect();
+    streams.sort_unstable();
+    let mut hasher = Xxh3::new();
+    let mut add = |text: &str| {
+        hasher.update(&(text.len() as u64).to_le_bytes());
+        hasher.update(text.as_bytes());
+    };
+    for (host, prefix, services) in streams {
+        [host, prefix].into_iter().for_each(&mut add);
+        services.into_iter().for_each(&mut add);
+        add("");
+    }
+    hasher.digest()
+}
+
+fn stream_routes(routes: &Routes) -> impl Iterator<Item = &Arc<Route>> {
+    routes.iter().filter(|route| route.kind == Kind::Stream)
+}
+
+fn target_services(route: &Route) -> impl Iterator<Item = &str> {
+    let targets = route.targets.iter().filter(|target| target.weight > 0);
+    targets.map(|target| &*target.service)
+}
+
+/// What this router remembers, and since when.
+#[derive(Clone, Debug, Default)]
+pub struct OriginMemory {
+    /// Fingerprint of the stream routes in force.
+    fingerprint: Option<u64>,
+    /// Fingerprints of earlier ones, with the clock reading at which they were replaced.
+    replaced_fingerprints: VecDeque<(Duration, u64)>,
+    /// Stream routes that are no longer in force as they were.
+    replaced_routes: VecDeque<(Duration, Arc<Route>)>,
+    /// Clock reading since which no route, and no version of a list, can have gone unnoticed.
+    complete_since: Option<Duration>,
+    /// No stream began before [`OriginMemory::complete_since`].
+    is_first_start: bool,
+    /// The record in the store, as last read.
+    recorded: Option<RecordedOrigins>,
+}
+
+impl OriginMemory {
+    /// Records that the whole fleet starts for the first time, which a record in the store disproves.
+    pub fn on_first_start(&mut self) {
+        self.is_first_start = true;
+    }
+
+    /// Records that the list is known to be complete at `at` after a gap.
+    pub fn on_gap(&mut self, at: Duration) {
+        self.is_first_start &= self.complete_since.is_none();
+        self.complete_since = Some(at);
+    }
+
+    /// Records what the store has; `None` if it has no record.
+    pub fn on_recorded(&mut self, recorded: Option<RecordedOrigins>) {
+        // Routers that start together write the record once they have read the list.
+        self.is_first_start &= recorded.is_none() || self.complete_since.is_some();
+        self.recorded = recorded;
+    }
+
+    /// Returns the time for which this router has known routes and lists without a gap; `None` before it
+    /// has read them.
+    pub fn complete_for(&self, now: Duration) -> Option<Duration> {
+        self.complete_since.map(|since| now.saturating_sub(since))
+    }
+
+    /// Returns the record in the store, as last read.
+    pub fn recorded(&self) -> Option<&RecordedOrigins> {
+        self.recorded.as_ref()
+    }
+
+    /// Records that a route table takes the place of another one.
+    pub fn on_routes(&mut self, now: Duration, before: Option<&Routes>, routes: &Routes) {
+        let fingerprint = route_fingerprint(routes);
+        let replaced = self.fingerprint.replace(fingerprint).filter(|old| *old != fingerprint);
+        let (Some(replaced), Some(before)) = (replaced, before) else { return };
+        self.discard_old(now);
+        self.replaced_fingerprints.push_back((now, replaced));
+        let key = |route: &Arc<Route>| {
+            let services: BTreeSet<String> = target_services(route).map(str::to_owned).collect();
+            (route.host.clone(), route.prefix.clone(), services)
+        };
+        let kept: BTreeSet<_> = stream_routes(routes).map(key).collect();
+        for route in stream_routes(before).filter(|route| !kept.contains(&key(route))) {
+            self.replaced_routes.push_back((now, route.clone()));
+        }
+        if self.replaced_routes.len() > MAX_REPLACED_ROUTES {
+            let excess = self.replaced_routes.len() - MAX_REPLACED_ROUTES;
+            self.replaced_routes.drain(..excess);
+            self.on_gap(now);
+        }
+    }
+
+    /// Returns the only service to which the routes in force, or those of the last minute, send a stream
+    /// with this host and path.
+    pub fn sole_service(
+        &self,
+        now: Duration,
+        routes: &Routes,
+        host: &str,
+        path: &str,
+    ) -> Option<Arc<str>> {
+        let replaced = self.replaced_routes.iter();
+        let replaced =
+            replaced.filter(|(at, _)| now.saturating_sub(*at) < RETENTION).map(|(_, route)| route);
+        // A route with a shorter prefix had the request before the one with a longer prefix was added.
+        let mut services = stream_routes(routes)
+            .chain(replaced)
+            .filter(|route| *route.host == *host && path.starts_with(&*route.prefix))
+            .flat_map(|route| route.targets.iter().filter(|target| target.weight > 0))
+            .map(|target| &target.service);
+        let sole = services.next()?;
+        services.all(|service| service == sole).then(|| sole.clone())
+    }
+
+    /// Returns whether streams of a service can have begun at no other version than `version`, which is
+    /// the only one that this router has known lately.
+    pub fn is_sole(&self, now: Duration, service: &str, version: &str) -> bool {
+        if self.is_complete(now, RETENTION) {
+            return true;
+        }
+        let Some(recorded) = &self.recorded else { return false };
+        let has_other_routes = recorded.routes.iter().any(|known| Some(*known) != self.fingerprint);
+        let versions = recorded.versions.get(service);
+        !has_other_routes
+            && !recorded.routes.is_empty()
+            && versions.is_some_and(|versions| versions.iter().all(|known| **known == *version))
+    }
+
+    /// Returns the record that the store should have and has not. `versions` returns the versions of a
+    /// service that were listed within a time.
+    pub fn missing_record(
+        &self,
+        now: Duration,
+        services: &BTreeSet<Arc<str>>,
+        versions: impl Fn(&str, Duration) -> BTreeSet<Arc<str>>,
+    ) -> Option<RecordedOrigins> {
+        let mut record = self.remembered(now, RETENTION, services, &versions)?;
+        match &self.recorded {
+            Some(recorded) => {
+                let mut kept = recorded.clone();
+                if self.is_complete(now, RECORD_RETENTION) {
+                    kept.retain(&self.remembered(now, RECORD_RETENTION, services, &versions)?);
+                }
+                record.extend(&kept);
+            }
+            None if !self.is_complete(now, RETENTION) => return None,
+            None => {}
+        }
+        (self.recorded.as_ref() != Some(&record)).then_some(record)
+    }
+
+    fn remembered(
+        &self,
+        now: Duration,
+        within: Duration,
+        services: &BTreeSet<Arc<str>>,
+        versions: impl Fn(&str, Duration) -> BTreeSet<Arc<str>>,
+    ) -> Option<RecordedOrigins> {
+        let replaced = self.replaced_fingerprints.iter();
+        let replaced = replaced.filter(|(at, _)| now.saturating_sub(*at) < within);
+        let routes = replaced.map(|(_, fingerprint)| *fingerprint).chain([self.fingerprint?]);
+        let versions = services
+            .iter()
+            .map(|service| (service.clone(), versions(service, within)))
+            .filter(|(_, versions)| !versions.is_empty());
+        Some(RecordedOrigins { routes: routes.collect(), versions: versions.collect() })
+    }
+
+    /// Returns whether this router knows where streams began within a time.
+    fn is_complete(&self, now: Duration, within: Duration) -> bool {
+        let is_long = |since: Duration| now.saturating_sub(since) >= within;
+        self.complete_since.is_some_and(|since| self.is_first_start || is_long(since))
+    }
+
+    fn discard_old(&mut self, now: Duration) {
+        let is_old = |at: Duration| now.saturating_sub(at) >= RECORD_RETENTION;
+        self.replaced_fingerprints.retain(|(at, _)| !is_old(*at));
+        self.replaced_routes.retain(|(at, _)| !is_old(*at));
+    }
+}
--- a/teaselworks_policy/src/stream_origin.rs
+++ b/teaselworks_policy/src/stream_origin.rs
@@ -1,7 +1,8 @@
 //! Which service and software version began each resumable stream.
 //!
-//! What two versions write does not fit together, and replicas do not check it. A stream therefore
-//! goes on only where its origin is known, either to this router or to one that has a copy.
+//! What two services or two versions write does not fit together, and replicas do not check it. A stream
+//! therefore goes on only where its origin is known, either to this router or to one that has a copy, or
+//! where all routers must have begun it alike.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -10,9 +11,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Time for which an origin is kept: longer than any caller waits for its stream.
-const RETENTION: Duration = Duration::from_secs(60);
-/// Maximum number of origins that are kept; the oldest ones make room for new ones.
-const MAX_ORIGINS: usize = 16_384;
+pub const RETENTION: Duration = Duration::from_secs(60);
+/// Age from which a record of the same origin takes the place of an earlier one.
+const REFRESH_AGE: Duration = Duration::from_secs(1);
+/// Maximum number of records that are kept; the oldest ones make room for new ones.
+const MAX_RECORDS: usize = 16_384;
 /// Number of different origins above which those that no stream has any more are discarded.
 const MAX_UNUSED_ORIGINS: usize = 64;
 
@@ -25,6 +28,44 @@
     pub version: Arc<str>,
 }
 
+/// What is known of the streams with one key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum KnownOrigin {
+    /// All of them began alike.
+    One(Arc<StreamOrigin>),
+    /// Several streams have the key and began differently.
+    Several,
+}
+
+impl KnownOrigin {
+    /// Returns what two routers know together.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use teaselworks_policy::stream_origin::{KnownOrigin, StreamOrigin};
+    ///
+    /// let known = |version: &str| {
+    ///     let origin = StreamOrigin { service: "chat".into(), version: version.into() };
+    ///     KnownOrigin::One(Arc::new(origin))
+    /// };
+    /// assert_eq!(known("v1").merge(known("v1")), known("v1"));
+    /// assert_eq!(known("v1").merge(known("v2")), KnownOrigin::Several);
+    /// ```
+    pub fn merge(self, other: KnownOrigin) -> KnownOrigin {
+        if self == other { self } else { KnownOrigin::Several }
+    }
+}
+
+/// Keys of the stream that answers a request. A caller that resumes a stream names the request that began
+/// it, or sends the same content under an identifier of its own.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct StreamKeys {
+    /// Key of the identifier of the request, see [`stream_key`].
+    pub request: u64,
+    /// Fingerprint of the content of the request, which streams of equal requests share.
+    pub content: u64,
+}
+
 /// Returns the key of the stream whose first event answered the request with the identifier
 /// `request_id`.
 ///
@@ -37,11 +78,17 @@
     xxh3_64(request_id.as_bytes())
 }
 
+#[derive(Clone, Debug)]
+struct Record {
+    recorded_at: Duration,
+    origin: KnownOrigin,
+}
+
 /// The origins of the streams that recently began at this router, and of those that other routers
 /// told it of.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
-    origins: HashMap<u64, Arc<StreamOrigin>>,
+    records: HashMap<u64, Record>,
     /// Keys in the order in which they were recorded, with the time of the record.
     recorded: VecDeque<(Duration, u64)>,
     /// Every different origin, so that streams share one copy of the names.
@@ -49,64 +96,91 @@
 }
 
 impl StreamOrigins {
-    /// Records where a stream began. The first record of a stream stays: a stream has one origin.
+    /// Records where a stream began, under both of its keys.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use teaselworks_policy::stream_origin::{StreamOrigin, StreamOrigins};
+    /// use teaselworks_policy::stream_origin::{
+    ///     KnownOrigin, StreamKeys, StreamOrigin, StreamOrigins,
+    /// };
     ///
     /// let origin = |version: &str| StreamOrigin { service: "chat".into(), version: version.into() };
+    /// let keys = |request: u64| StreamKeys { request, content: 7 };
     /// let mut origins = StreamOrigins::default();
-    /// origins.record(Duration::ZERO, 7, origin("v1"));
-    /// origins.record(Duration::ZERO, 7, origin("v2"));
-    /// assert_eq!(&*origins.find(Duration::ZERO, 7).unwrap().version, "v1");
-    /// assert_eq!(origins.find(Duration::from_secs(99), 7), None);
+    /// origins.record(Duration::ZERO, keys(1), &origin("v1"));
+    /// let KnownOrigin::One(known) = origins.find(Duration::ZERO, keys(3)).unwrap() else { panic!() };
+    /// assert_eq!(&*known.version, "v1");
+    /// origins.record(Duration::ZERO, keys(2), &origin("v2"));
+    /// assert_eq!(origins.find(Duration::ZERO, keys(3)), Some(KnownOrigin::Several));
+    /// let KnownOrigin::One(known) = origins.find(Duration::ZERO, keys(2)).unwrap() else { panic!() };
+    /// assert_eq!(&*known.version, "v2");
+    /// assert_eq!(origins.find(Duration::from_secs(99), keys(1)), None);
     /// ```
-    pub fn record(&mut self, now: Duration, stream: u64, origin: StreamOrigin) {
+    pub fn record(&mut self, now: Duration, keys: StreamKeys, origin: &StreamOrigin) {
+        let origin = KnownOrigin::One(self.intern(origin));
+        self.record_known(now, keys.request, origin.clone());
+        self.record_known(now, keys.content, origin);
+    }
+
+    /// Returns where the stream began that answered the request, or else an equal one.
+    pub fn find(&mut self, now: Duration, keys: StreamKeys) -> Option<KnownOrigin> {
         self.discard_old(now);
-        if self.origins.contains_key(&stream) {
-            return;
-        }
-        let origin = self.intern(origin);
-        self.origins.insert(stream, origin);
-        self.recorded.push_back((now, stream));
+        let record = self.records.get(&keys.request).or_else(|| self.records.get(&keys.content));
+        record.map(|record| record.origin.clone())
     }
 
-    /// Returns where a stream began, if that is known.
-    pub fn find(&mut self, now: Duration, stream: u64) -> Option<Arc<StreamOrigin>> {
+    /// Returns where the stream began that answered the request with this key.
+    pub fn find_request(&mut self, now: Duration, request: u64) -> Option<KnownOrigin> {
         self.discard_old(now);
-        self.origins.get(&stream).cloned()
+        self.records.get(&request).map(|record| record.origin.clone())
     }
 
-    /// Returns the number of streams whose origin is known.
+    /// Returns the number of keys whose origin is known.
     pub fn len(&self) -> usize {
-        self.origins.len()
+        self.records.len()
     }
 
     /// Returns whether no origin is known.
     pub fn is_empty(&self) -> bool {
-        self.origins.is_empty()
+        self.records.is_empty()
+    }
+
+    fn record_known(&mut self, now: Duration, key: u64, origin: KnownOrigin) {
+        self.discard_old(now);
+        if let Some(known) = self.records.get_mut(&key) {
+            let is_new = known.origin != origin && known.origin != KnownOrigin::Several;
+            if !is_new && now.saturating_sub(known.recorded_at) < REFRESH_AGE {
+                return;
+            }
+            known.origin = known.origin.clone().merge(origin);
+            known.recorded_at = now;
+        } else {
+            self.records.insert(key, Record { recorded_at: now, origin });
+        }
+        self.recorded.push_back((now, key));
     }
 
     fn discard_old(&mut self, now: Duration) {
-        while let Some((recorded_at, stream)) = self.recorded.front() {
-            let is_old = now.saturating_sub(*recorded_at) > RETENTION;
-            if !is_old && self.recorded.len() < MAX_ORIGINS {
+        while let Some((recorded_at, key)) = self.recorded.front().copied() {
+            let is_old = now.saturating_sub(recorded_at) > RETENTION;
+            if !is_old && self.recorded.len() < MAX_RECORDS {
                 return;
             }
-            self.origins.remove(stream);
             self.recorded.pop_front();
+            if self.records.get(&key).is_some_and(|record| record.recorded_at == recorded_at) {
+                self.records.remove(&key);
+            }
         }
     }
 
-    fn intern(&mut self, origin: StreamOrigin) -> Arc<StreamOrigin> {
-        if let Some(known) = self.interned.get(&origin) {
+    fn intern(&mut self, origin: &StreamOrigin) -> Arc<StreamOrigin> {
+        if let Some(known) = self.interned.get(origin) {
             return known.clone();
         }
         if self.interned.len() >= MAX_UNUSED_ORIGINS {
             self.interned.retain(|known| Arc::strong_count(known) > 1);
         }
-        let origin = Arc::new(origin);
+        let origin = Arc::new(origin.clone());
         self.interned.insert(origin.clone());
         origin
     }
--- a/teaselworks_policy/src/upstream/pool/versions.rs
+++ b/teaselworks_policy/src/upstream/pool/versions.rs
@@ -1,5 +1,6 @@
 //! Which software versions of a service begin resumable streams.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,10 @@
             member.is_unsettled = !self.versions.is_settled(now, version, settling);
         }
         let is_usable = |member: &&Member| member.takes_requests();
+        // A router that has just started knows all versions for the same time; those that the record
+        // lacks are the newest.
+        let is_recorded = |member: &Member| self.versions.is_recorded(&member.upstream.version);
+        let has_recorded = self.members.iter().any(|m| m.takes_requests() && is_recorded(m));
         if self.members.iter().filter(is_usable).any(|member| !member.is_unsettled) {
             return;
         }
@@ -36,7 +41,8 @@
                 usable.by_ref().filter(|member| member.upstream.version == *version).count();
             (count, version.clone())
         };
-        let versions = self.members.iter().filter(is_usable).map(|member| &member.upstream.version);
+        let begins = |member: &&Member| is_usable(member) && (!has_recorded || is_recorded(member));
+        let versions = self.members.iter().filter(begins).map(|member| &member.upstream.version);
         let Some((_, version)) = versions.map(count).max() else { return };
         for member in &mut self.members {
             member.is_unsettled = member.upstream.version != version;
@@ -51,6 +57,16 @@
         }
     }
 
+    /// Returns the software versions that were listed within the time `within`, at most 90 s.
+    pub fn versions(&self, now: Duration, within: Duration) -> BTreeSet<Arc<str>> {
+        self.versions.listed_within(now, within)
+    }
+
+    /// Records the software versions that were listed lately by the record in the store.
+    pub fn set_recorded_versions(&mut self, versions: Option<&BTreeSet<Arc<str>>>) {
+        self.versions.set_recorded(versions);
+    }
+
     /// Returns the only software version that any router can have begun streams at, if there is just
     /// one, as far as this router is aware.
     pub fn sole_version(&self, now: Duration) -> Option<Arc<str>> {
--- a/teaselworks_standin/src/router.rs
+++ b/teaselworks_standin/src/router.rs
@@ -81,7 +81,7 @@
             metrics: PortGuard::reserve()?,
         };
         let settings = json!({
-            "router": { "name": name, "zone": "a" },
+            "router": { "name": name, "zone": "a", "is_first_start": true },
             "listen": {
                 "callers": ports.callers.address(),
                 "health": ports.health.address(),
