Model: callers that do not name their streams, releases, split routes and killed routers

Its routers are now whole fleets: a second version joins and the first one leaves as routers are killed, the route is split, and the record in the store is written and read. Simulated bugs: a router takes what it has seen since its start for all there was, and one draws the service anew; both are reported, as is guessing.

--- a/teaselworks_model/src/lib.rs
+++ b/teaselworks_model/src/lib.rs
@@ -27,4 +27,4 @@
 pub use self::result::{EngineTotals, Outcome, RequestCounts};
 pub use self::retries::{RetryBug, RetryFault, RetryLoad, RetryOutcome, run_retries};
 pub use self::run::run;
-pub use self::streams::{StreamLoad, StreamOutcome, run_streams};
+pub use self::streams::{StreamBug, StreamLoad, StreamOutcome, run_streams};
--- a/teaselworks_model/src/streams.rs
+++ b/teaselworks_model/src/streams.rs
@@ -1,5 +1,5 @@
-//! Simulation of streams that break off and are resumed at other routers, while replicas of two
-//! software versions serve and routers are killed.
+//! Simulation of streams that break off and are resumed at other routers, by callers that do not name
+//! them, while replicas are replaced by a new software version, a route is split and routers are killed.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -8,13 +8,43 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
+use teaselworks_policy::configuration::{Configuration, Kind, Route, Routes, Target};
+use teaselworks_policy::fleet::{Fleet, FleetSettings};
 use teaselworks_policy::membership::Membership;
-use teaselworks_policy::stream_origin::{KnownOrigin, StreamKeys, StreamOrigin, StreamOrigins};
+use teaselworks_policy::origin_memory::RecordedOrigins;
+use teaselworks_policy::placement::PlacementRequest;
+use teaselworks_policy::retry::BudgetSettings;
+use teaselworks_policy::shares::{Admission, SharesSettings};
+use teaselworks_policy::stream_origin::{KnownOrigin, StreamKeys, StreamOrigin};
+use teaselworks_policy::upstream::{Change, ColdSettings, Upstream};
 
-/// Versions that serve side by side.
+/// Versions of the replicas: the first one at the start, and the one that replaces it.
 const VERSIONS: [&str; 2] = ["v1", "v2"];
+/// Services of a split route; others send requests to the first one.
+const SERVICES: [&str; 2] = ["engines", "others"];
+/// Replicas of a service with the same version.
+const REPLICAS: usize = 4;
 /// Length of a tick.
 const TICK: Duration = Duration::from_millis(100);
+/// Longest time from a change in the store until a router knows it.
+const MAX_LAG: Duration = Duration::from_millis(1_000);
+/// Bound on the age of what routers know of the store.
+const MAX_STALENESS: Duration = Duration::from_secs(3);
+/// Longest time from the beginning of a stream to its break.
+const MAX_LENGTH_MS: u64 = 6_000;
+/// Time between two checks of the record in the store.
+const RECORD_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A simulated bug of the routers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StreamBug {
+    /// A router that does not know an origin takes the first version.
+    Guesses,
+    /// A router takes what it has seen since its start for all that there was.
+    ForgetsAtStart,
+    /// A router draws the service of a split route anew.
+    DrawsService,
+}
 
 /// Settings of a simulation of streams.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -31,44 +61,53 @@
     pub loss: f64,
     /// Simulated time.
     pub length: Duration,
-    /// A simulated bug: a router that does not know an origin guesses one.
-    pub guesses: bool,
+    /// Whether a second version joins after a third of the time, and the first one leaves as the routers
+    /// are killed.
+    pub has_release: bool,
+    /// Whether the route is split between two services.
+    pub is_split: bool,
+    /// A simulated bug.
+    pub bug: Option<StreamBug>,
 }
 
 /// What happened to the streams of a simulation.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct StreamOutcome {
-    /// Streams that were resumed at another router.
+    /// Streams that were resumed at another router while replicas of their version were listed.
     pub resumed: u64,
-    /// Of these, those whose origin the other router found, and that go on.
+    /// Of these, those that went on.
     pub went_on: u64,
-    /// Of these, those that go on at another version than the one that began them.
+    /// Streams that went on at another version or service than the one that began them.
     pub joined: u64,
-    /// Largest number of streams whose origin one router knew.
+    /// Largest number of keys of streams whose origin one router knew.
     pub most_known: usize,
     /// Datagrams sent for origins, over all routers.
     pub datagrams: u64,
+    /// Writes of the record of where streams can have begun.
+    pub record_writes: u64,
 }
 
 /// A stream in progress.
 struct Stream {
     keys: StreamKeys,
-    version: usize,
+    origin: StreamOrigin,
     began_at: usize,
-}
-
-/// One router: its view of the fleet and the origins of streams.
-struct Router {
-    membership: Membership,
-    origins: StreamOrigins,
+    breaks_at: Duration,
 }
 
 struct Simulation<'a> {
     load: &'a StreamLoad,
     random: Pcg32,
     now: Duration,
-    routers: Vec<Router>,
+    routers: Vec<Fleet>,
+    /// How far each router lags behind the store.
+    lags: Vec<Duration>,
+    names: Vec<(Arc<str>, SocketAddr)>,
     index_by_address: HashMap<SocketAddr, usize>,
+    /// Changes of the list, with their times.
+    changes: Vec<(Duration, Change)>,
+    /// Record of origins in the store, and when it was written.
+    record: Option<(Duration, RecordedOrigins)>,
     outcome: StreamOutcome,
 }
 
@@ -85,7 +124,9 @@
 ///     killed_share: 0.0,
 ///     loss: 0.0,
 ///     length: Duration::from_secs(5),
-///     guesses: false,
+///     has_release: false,
+///     is_split: false,
+///     bug: None,
 /// };
 /// let outcome = run_streams(&load, 1);
 /// assert_eq!((outcome.went_on, outcome.joined), (outcome.resumed, 0));
@@ -97,68 +138,150 @@
 impl<'a> Simulation<'a> {
     fn new(load: &'a StreamLoad, seed: u64) -> Self {
         let address = |number: u16| SocketAddr::from(([127, 0, 0, 1], 10_000 + number));
-        let list: Vec<(Arc<str>, SocketAddr)> = (0..load.routers)
+        let names: Vec<(Arc<str>, SocketAddr)> = (0..load.routers)
             .map(|number| (format!("router-{number}").into(), address(number)))
             .collect();
-        let new_router = |(name, _): &(Arc<str>, SocketAddr)| {
-            let mut membership = Membership::new(name.clone(), Vec::new());
-            membership.replace(Duration::ZERO, list.clone());
-            Router { membership, origins: StreamOrigins::default() }
-        };
-        let routers = list.iter().map(new_router).collect();
         let index_by_address =
-            list.iter().enumerate().map(|(index, (_, address))| (*address, index)).collect();
-        let random = Pcg32::seed_from_u64(seed);
-        let (now, outcome) = (Duration::ZERO, StreamOutcome::default());
-        Self { load, random, now, routers, index_by_address, outcome }
+            names.iter().enumerate().map(|(index, (_, address))| (*address, index)).collect();
+        let mut random = Pcg32::seed_from_u64(seed);
+        let lags = names
+            .iter()
+            .map(|_| Duration::from_millis(random.random_range(0..MAX_LAG.as_millis() as u64)))
+            .collect();
+        let (now, outcome) = (MAX_LAG, StreamOutcome::default());
+        let mut simulation = Self {
+            load,
+            random,
+            now,
+            routers: Vec::new(),
+            lags,
+            names,
+            index_by_address,
+            changes: list_changes(load),
+            record: None,
+            outcome,
+        };
+        for index in 0..simulation.names.len() {
+            let router = simulation.start_router(index, true);
+            simulation.routers.push(router);
+        }
+        simulation
     }
 
     fn run(mut self) -> StreamOutcome {
-        let mut streams = Vec::new();
+        let mut streams: Vec<Stream> = Vec::new();
         let mut owed = 0.0;
         let mut has_killed = false;
-        while self.now < self.load.length {
+        while self.now < MAX_LAG + self.load.length {
+            self.update_routers();
             owed += self.load.streams_per_s * TICK.as_secs_f64();
             while owed >= 1.0 {
                 owed -= 1.0;
-                streams.push(self.begin());
+                streams.extend(self.begin());
             }
-            if !has_killed && self.now * 2 >= self.load.length {
+            if !has_killed && (self.now - MAX_LAG) * 2 >= self.load.length {
                 has_killed = true;
                 self.kill();
             }
-            for stream in std::mem::take(&mut streams) {
-                if self.random.random::<f64>() < self.load.broken_share {
-                    self.resume(&stream);
-                }
+            let now = self.now;
+            let broken: Vec<Stream> =
+                streams.extract_if(.., |stream| stream.breaks_at <= now).collect();
+            for stream in broken {
+                self.resume(&stream);
             }
             self.now += TICK;
         }
-        let known = self.routers.iter().map(|router| router.origins.len());
+        let known = self.routers.iter().map(|router| router.stream_origins.len());
         self.outcome.most_known = known.max().unwrap_or(0);
         self.outcome
     }
 
+    /// Returns a router that starts now and reads the store.
+    fn start_router(&self, index: usize, is_first_start: bool) -> Fleet {
+        let membership = Membership::new(self.names[index].0.clone(), Vec::new());
+        let mut fleet = Fleet::new(settings(), membership, index as u64);
+        fleet.membership.replace(Duration::ZERO, self.names.clone());
+        let forgets = self.load.bug == Some(StreamBug::ForgetsAtStart);
+        if is_first_start || forgets {
+            fleet.origin_memory.on_first_start();
+        }
+        fleet.set_configuration(self.now, configuration(self.load.is_split));
+        let record = self.record.as_ref().filter(|_| !forgets);
+        fleet.on_recorded_origins(record.map(|(_, record)| record.clone()));
+        let applied = self.changes.iter().filter(|(at, _)| *at <= self.now);
+        let (mut serving, mut gone) = (Vec::new(), Vec::new());
+        for (_, change) in applied {
+            match change {
+                Change::Gone(id) => gone.push(id.clone()),
+                change => serving.push(change),
+            }
+        }
+        for change in serving {
+            if !matches!(change, Change::Serving(upstream) if gone.contains(&upstream.id)) {
+                fleet.apply(self.now, change);
+            }
+        }
+        fleet.on_list_confirmed(self.now);
+        fleet
+    }
+
+    /// Delivers the changes of the store to the routers, and writes the record if it lacks something.
+    fn update_routers(&mut self) {
+        let (now, forgets) = (self.now, self.load.bug == Some(StreamBug::ForgetsAtStart));
+        for (fleet, lag) in self.routers.iter_mut().zip(&self.lags) {
+            let is_due = |at: Duration| at + *lag <= now && at + *lag + TICK > now;
+            for (_, change) in self.changes.iter().filter(|(at, _)| is_due(*at)) {
+                fleet.apply(now, change);
+            }
+            let record = self.record.as_ref().filter(|(at, _)| is_due(*at) && !forgets);
+            if let Some((_, record)) = record {
+                fleet.on_recorded_origins(Some(record.clone()));
+            }
+            fleet.on_list_confirmed(now - *lag);
+        }
+        if !now.as_millis().is_multiple_of(RECORD_INTERVAL.as_millis()) {
+            return;
+        }
+        let writer = &mut self.routers[0];
+        let known = writer.origin_memory.recorded() == self.record.as_ref().map(|(_, known)| known);
+        if let Some(record) = writer.missing_origin_record(now).filter(|_| known) {
+            self.outcome.record_writes += 1;
+            self.record = Some((now, record));
+        }
+    }
+
     /// Begins a stream at a random router and sends its origin to the holders.
-    fn begin(&mut self) -> Stream {
+    fn begin(&mut self) -> Option<Stream> {
         let began_at = self.random.random_range(0..self.routers.len());
         let keys = StreamKeys { request: self.random.random(), content: self.random.random() };
-        let version = self.random.random_range(0..VERSIONS.len());
-        let origin = StreamOrigin { service: "engines".into(), version: VERSIONS[version].into() };
-        self.routers[began_at].origins.record(self.now, keys, &origin);
+        let service = self.draw_service();
+        let fleet = &mut self.routers[began_at];
+        let placement = fleet.place(self.now, service, &new_stream()).ok()?;
+        let incarnation = placement.upstream.incarnation();
+        fleet.on_attempt_end(self.now, service, &incarnation, None, Duration::ZERO);
+        let version = placement.upstream.version.clone();
+        let origin = StreamOrigin { service: service.into(), version };
+        fleet.stream_origins.record(self.now, keys, &origin);
         for holder in self.holders(began_at, keys.content) {
             if self.is_delivered() {
-                self.routers[holder].origins.record(self.now, keys, &origin);
+                self.routers[holder].stream_origins.record(self.now, keys, &origin);
             }
         }
-        Stream { keys, version, began_at }
+        let is_broken = self.random.random::<f64>() < self.load.broken_share;
+        let length = Duration::from_millis(self.random.random_range(0..MAX_LENGTH_MS));
+        is_broken.then_some(Stream { keys, origin, began_at, breaks_at: self.now + length })
     }
 
-    /// Kills some routers: their streams break off, and they start again without any memory.
+    fn draw_service(&mut self) -> &'static str {
+        let services = if self.load.is_split { 2 } else { 1 };
+        SERVICES[self.random.random_range(0..services)]
+    }
+
+    /// Kills some routers: they start again without any memory.
     fn kill(&mut self) {
         let killed = (self.routers.len() as f64 * self.load.killed_share) as usize;
-        for router in &mut self.routers[..killed] {
-            router.origins = StreamOrigins::default();
+        for index in 0..killed {
+            self.routers[index] = self.start_router(index, false);
         }
     }
 
@@ -166,19 +289,41 @@
     fn resume(&mut self, stream: &Stream) {
         let offset = self.random.random_range(1..self.routers.len());
         let router = (stream.began_at + offset) % self.routers.len();
-        self.outcome.resumed += 1;
+        let pool = self.routers[router].pool(&stream.origin.service);
+        let is_listed = pool.is_some_and(|pool| {
+            pool.members().iter().any(|member| member.upstream.version == stream.origin.version)
+        });
+        self.outcome.resumed += u64::from(is_listed);
         // The caller does not name its stream: it sends the same content under another identifier.
         let keys = StreamKeys { request: self.random.random(), content: stream.keys.content };
-        let known = self.routers[router].origins.find(self.now, keys);
-        let origin = known.or_else(|| self.ask(router, keys));
-        let version = match origin {
-            Some(KnownOrigin::One(origin)) => origin.version.clone(),
-            Some(KnownOrigin::Several) => return,
-            None if self.load.guesses => VERSIONS[0].into(),
-            None => return,
-        };
-        self.outcome.went_on += 1;
-        self.outcome.joined += u64::from(*version != *VERSIONS[stream.version]);
+        let Some(origin) = self.find_origin(router, keys) else { return };
+        let is_joined = origin != stream.origin;
+        self.outcome.joined += u64::from(is_joined);
+        self.outcome.went_on += u64::from(is_listed && !is_joined);
+    }
+
+    fn find_origin(&mut self, router: usize, keys: StreamKeys) -> Option<StreamOrigin> {
+        if self.load.bug == Some(StreamBug::DrawsService) {
+            return Some(StreamOrigin {
+                service: self.draw_service().into(),
+                version: VERSIONS[0].into(),
+            });
+        }
+        let forgets = self.load.bug == Some(StreamBug::ForgetsAtStart);
+        let sole = self.routers[router].sole_origin(self.now, "host", "/gloss/x");
+        if let Some(origin) = sole.clone().filter(|_| forgets) {
+            return Some(origin);
+        }
+        let known = self.routers[router].stream_origins.find(self.now, keys);
+        match known.or_else(|| self.ask(router, keys)) {
+            Some(KnownOrigin::One(origin)) => Some((*origin).clone()),
+            Some(KnownOrigin::Several) => None,
+            None if self.load.bug == Some(StreamBug::Guesses) => {
+                let (service, version) = (SERVICES[0].into(), VERSIONS[0].into());
+                Some(StreamOrigin { service, version })
+            }
+            None => sole,
+        }
     }
 
     /// Queries the holders of a stream's origin, twice each since datagrams may be lost.
@@ -186,7 +331,7 @@
         for _ in 0..2 {
             for holder in self.holders(router, keys.content) {
                 let is_answered = self.is_delivered() && self.is_delivered();
-                let origin = self.routers[holder].origins.find(self.now, keys);
+                let origin = self.routers[holder].stream_origins.find(self.now, keys);
                 if origin.is_some() && is_answered {
                     return origin;
                 }
@@ -206,3 +351,62 @@
         self.random.random::<f64>() >= self.load.loss
     }
 }
+
+fn settings() -> FleetSettings {
+    FleetSettings {
+        load_factor: 2.0,
+        cold: ColdSettings { overshoot: 1.0, slack: 0.0 },
+        budget: BudgetSettings { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) },
+        shares: SharesSettings::default(),
+        max_staleness: MAX_STALENESS,
+    }
+}
+
+fn configuration(is_split: bool) -> Configuration {
+    let services = if is_split { &SERVICES[..] } else { &SERVICES[..1] };
+    let target = |service: &&str| Target { service: (*service).into(), weight: 1 };
+    let targets = services.iter().map(target).collect();
+    let route = Route { targets, ..Route::example(Kind::Stream, "/gloss/") };
+    Configuration { version: 1, routes: Routes::new([route]), ..Configuration::default() }
+}
+
+/// Returns the changes of the list of replicas, in order, with their times.
+fn list_changes(load: &StreamLoad) -> Vec<(Duration, Change)> {
+    let services = if load.is_split { 2 } else { 1 };
+    let mut changes = Vec::new();
+    for service in &SERVICES[..services] {
+        for number in 0..REPLICAS {
+            for (index, version) in VERSIONS.iter().enumerate() {
+                let id = format!("{service}-{version}-{number}");
+                let upstream =
+                    Upstream { version: (*version).into(), ..Upstream::example(&id, service) };
+                let joins_at = load.length * index as u32 / 3;
+                if index == 0 || load.has_release {
+                    changes.push((joins_at, Change::Serving(upstream)));
+                }
+            }
+            if load.has_release {
+                let gone = Change::Gone(format!("{service}-{}-{number}", VERSIONS[0]).into());
+                changes.push((load.length / 2, gone));
+            }
+        }
+    }
+    changes.sort_by_key(|(at, _)| *at);
+    changes
+}
+
+fn new_stream() -> PlacementRequest<'static> {
+    PlacementRequest {
+        prompt: None,
+        zone: "a",
+        tried: &[],
+        version: None,
+        begins_stream: true,
+        remaining: Duration::from_secs(8),
+        max_retry_after: Duration::from_secs(1),
+        has_started: false,
+        is_late: false,
+        class: None,
+        admission: Admission::Normal,
+    }
+}
