Log and count the runs that a stream joins

Cause: the log tells that an attempt was retried or broke off, but not between which events, from which replica, service and version to which, nor whether what came was the rest of the stream. Hypotheses on joined streams (an event cut, a run that starts again, an end before the last event) look the same.

Change: `stream_resumed` (TW0811) for each attempt to resume a stream within its answer and `stream_ended` (TW0812) for each answer that is a stream of events, one line each, both with the fingerprint that a caller's attempts share. Counters `teaselworks_streams` by ending and runs, and `teaselworks_stream_resumptions` by outcome. Nothing is logged for an event.

No load was run.

--- a/teaselworks/src/metrics.rs
+++ b/teaselworks/src/metrics.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod crash;
+mod streams;
 
 use std::fmt;
 use std::io::ErrorKind;
@@ -19,6 +20,8 @@
 use self::admission::AdmissionCounters;
 pub use self::admission::SharesReport;
 pub use self::crash::CrashAttribution;
+use self::streams::StreamCounters;
+pub use self::streams::{ResumptionOutcome, StreamEnding};
 use crate::event;
 
 /// Upper bounds of the latency histograms, in milliseconds.
@@ -114,6 +117,7 @@
     detours: Counter<u64>,
     cold_homes: Counter<u64>,
     stream_lookups: Counter<u64>,
+    streams: StreamCounters,
     suspected_parts: Counter<u64>,
     broken_attempts: Counter<u64>,
     ended_replicas: Counter<u64>,
@@ -192,6 +196,7 @@
                 "teaselworks_stream_lookups",
                 "Streams that callers resume, by whether a router knew where they began.",
             ),
+            streams: StreamCounters::new(&meter),
             suspected_parts: counter(
                 &meter,
                 "teaselworks_suspected_parts",
--- a/teaselworks/src/platform/headers.rs
+++ b/teaselworks/src/platform/headers.rs
@@ -177,6 +177,11 @@
     single_value(headers, &PROMPT_PREFIX).unwrap_or_default()
 }
 
+/// Returns the identifier of the event after which a request resumes a stream.
+pub fn last_event_id(headers: &HeaderMap) -> Option<&str> {
+    single_value(headers, &LAST_EVENT_ID).filter(|id| !id.is_empty())
+}
+
 /// Parses a number of milliseconds from 0 to 1e9, which may have a fraction.
 fn parse_milliseconds(value: &str) -> Option<Duration> {
     let ms: f64 = value.trim().parse().ok()?;
--- a/teaselworks/src/relay/in_flight.rs
+++ b/teaselworks/src/relay/in_flight.rs
@@ -99,6 +99,11 @@
         &self.incarnation.id
     }
 
+    /// Returns the service that the request is for.
+    pub(super) fn service(&self) -> &Arc<str> {
+        &self.service
+    }
+
     /// Returns the software version of the upstream; `None` if another router forwards the request.
     pub(super) fn version(&self) -> Option<&Arc<str>> {
         self.version.as_ref()
--- a/teaselworks/src/relay/mod.rs
+++ b/teaselworks/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod dispatch;
 mod ended_requests;
 mod event_splitter;
+mod event_stream;
 mod forwarded;
 mod in_flight;
 mod io;
--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -14,15 +14,16 @@
 use teaselworks_policy::upstream::RequestOutcome;
 use tokio::time::{Instant, Sleep};
 
-use super::EventSplitter;
 use super::attempt::Answer;
 use super::body::{BodyError, OutgoingBody};
 use super::dispatch::Dispatched;
+use super::event_stream::EventStream;
 use super::in_flight::InFlightRequest;
 use super::origin::Origin;
 use super::request_progress::RequestProgress;
 use super::request_state::{RequestState, request_outcome};
 use super::upstream_connection::Connection;
+use crate::metrics::StreamEnding;
 use crate::platform::headers;
 
 /// Media type of server-sent events.
@@ -67,8 +68,11 @@
     mut request_state: RequestState,
     progress: RequestProgress,
 ) -> Response<OutgoingBody> {
+    let events = answer.has_events().then(|| {
+        let shared = request_state.shared.clone();
+        EventStream::new(shared, &request_state.prepared, &answer.source.in_flight)
+    });
     request_state.release_request();
-    let splitter = answer.has_events().then(EventSplitter::default);
     let remaining = request_state.prepared.deadline.remaining(request_state.shared.now());
     // An answer that begins after the deadline is forwarded if it is ready.
     let remaining =
@@ -81,7 +85,7 @@
         buffered: Some(buffered).filter(|buffered| !buffered.is_empty()),
         status,
         source: Some(source),
-        splitter,
+        events,
         deadline_timer: Box::pin(tokio::time::sleep(remaining)),
         silence_timer: Box::pin(tokio::time::sleep(request_state.prepared.route.silence_timeout())),
         last_arrival: request_state.shared.now(),
@@ -118,7 +122,7 @@
     source: Option<Source>,
     /// Splits the body into complete events; `None` if it is not a stream of events and so can't be
     /// resumed.
-    splitter: Option<EventSplitter>,
+    events: Option<EventStream>,
     /// Fires at the request's deadline. There is one timer for the whole answer, since a timer for
     /// each event would cost more than forwarding the event.
     deadline_timer: Pin<Box<Sleep>>,
@@ -144,8 +148,8 @@
                 }
                 None => return Ok(None),
             };
-            let data = match &mut self.splitter {
-                Some(splitter) => splitter.push(&data).ok_or(BodyError::TooLarge)?,
+            let data = match &mut self.events {
+                Some(events) => events.push(&data)?,
                 None => data,
             };
             if !data.is_empty() {
@@ -157,7 +161,7 @@
 
     /// Records where the stream began if this is its first event.
     fn on_event(&mut self) {
-        let source = self.source.as_ref().filter(|_| self.splitter.is_some());
+        let source = self.source.as_ref().filter(|_| self.events.is_some());
         let version = source.and_then(|source| source.in_flight.version());
         if let Some(version) = version {
             self.request_state.on_first_event(version);
@@ -215,7 +219,7 @@
         if is_at_router {
             return Ok(());
         }
-        if self.splitter.is_some() && self.request_state.try_take_silence_retry() {
+        if self.events.is_some() && self.request_state.try_take_silence_retry() {
             self.resume(Failure::Silent).await?;
             self.last_arrival = self.request_state.shared.now();
         }
@@ -224,7 +228,7 @@
 
     /// Returns whether an incomplete event is buffered.
     fn has_partial_event(&self) -> bool {
-        self.splitter.as_ref().is_some_and(EventSplitter::has_partial_event)
+        self.events.as_ref().is_some_and(EventStream::has_partial_event)
     }
 
     /// Resumes the stream at another upstream after the last complete event. Fails if the answer is
@@ -237,22 +241,31 @@
             }
             source.in_flight.set_outcome(RequestOutcome::NoAnswer);
         }
-        let Some(splitter) = &mut self.splitter else { return Err(BodyError::Broken) };
-        splitter.discard_partial_event();
-        let last_id = splitter.last_id().map(str::to_owned);
+        let Some(events) = &mut self.events else { return Err(BodyError::Broken) };
+        events.on_broken();
+        let last_id = events.last_id().map(str::to_owned);
         loop {
             self.request_state.authorize_retry(failure, true).map_err(|_| BodyError::Broken)?;
             let after = last_id.as_deref();
             let Dispatched { answer, mut in_flight } =
-                self.request_state.dispatch(after).await.map_err(|_| BodyError::Broken)?;
+                match self.request_state.dispatch(after).await {
+                    Ok(dispatched) => dispatched,
+                    Err(refusal) => {
+                        events.on_not_resumed(failure, None, refusal.reason.as_str());
+                        return Err(BodyError::Broken);
+                    }
+                };
             let answer = match answer {
                 Ok(answer) if answer.status == self.status => answer,
-                Ok(_) => {
+                Ok(answer) => {
+                    events.on_not_resumed(failure, Some(&in_flight), answer.status.as_str());
                     in_flight.set_outcome(RequestOutcome::Error);
                     failure = Failure::Failed;
                     continue;
                 }
                 Err(attempt_failure) => {
+                    let cause = attempt_failure.as_str();
+                    events.on_not_resumed(failure, Some(&in_flight), cause);
                     if self.request_state.is_break(attempt_failure) {
                         in_flight.on_broken().await;
                     }
@@ -261,6 +274,7 @@
                     continue;
                 }
             };
+            events.on_resumed(failure, &in_flight);
             in_flight.on_resumed();
             if let Some(load) = answer.metadata.load {
                 in_flight.on_load_report(load);
@@ -279,7 +293,10 @@
     /// Records that the answer was forwarded completely, and releases the connection to the
     /// upstream for later requests unless the upstream closes it.
     fn finish(self) {
-        let Self { source, request_state, progress, status, .. } = self;
+        let Self { source, events, request_state, progress, status, .. } = self;
+        if let Some(mut events) = events {
+            events.set_ending(StreamEnding::Whole);
+        }
         let Some(Source { mut in_flight, connection, is_closing, body }) = source else { return };
         drop(body);
         in_flight.on_complete(&request_state.prepared);
@@ -294,7 +311,13 @@
     /// the body. If the request's deadline passed, no outcome is set: that says nothing about the
     /// health of the upstream.
     fn abort(self, cause: BodyError) {
-        let Self { source, request_state, progress, .. } = self;
+        let Self { source, events, request_state, progress, .. } = self;
+        if let Some(mut events) = events {
+            events.set_ending(match cause {
+                BodyError::Deadline => StreamEnding::Deadline,
+                BodyError::Broken | BodyError::TooLarge => StreamEnding::Broken,
+            });
+        }
         let upstream = source.as_ref().map(|source| source.in_flight.upstream().clone());
         if let Some(mut source) = source.filter(|_| cause != BodyError::Deadline) {
             source.in_flight.set_outcome(RequestOutcome::NoAnswer);
