Join a run to a stream only if it goes on after the last event

Callers saw events twice: where a replica ignored Last-Event-Id, the run that should go on was joined whatever its first event was, both within an answer and where the caller itself resumed.

Cause: the answer that resumes a stream was accepted by its status alone.

Change: the first event of a run must come after the event that was named (a greater number; identifiers that are not numbers must differ). Else the connection is closed, nothing of the run is forwarded, and the attempt counts as failed (`foreign`), so that another replica is asked within the same bounds. Blocks of comments are no events. A caller's Last-Event-Id is held to the same on routes whose streams may be resumed; elsewhere nothing is checked. `stream_resumed` says `not_continued`, for a caller's resumption too.

--- a/teaselworks/src/metrics/streams.rs
+++ b/teaselworks/src/metrics/streams.rs
@@ -1,4 +1,4 @@
-//! Metrics of streams: how they ended, of how many runs, and how resumptions within an answer went.
+//! Metrics of streams: how they ended, of how many runs, and how resumptions went.
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
@@ -44,7 +44,7 @@
     }
 }
 
-/// Outcome of an attempt to resume a stream within an answer.
+/// Outcome of an attempt to resume a stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ResumptionOutcome {
     /// The first event came and was forwarded.
@@ -87,7 +87,7 @@
     }
 }
 
-/// Counters of streams and of resumptions within an answer.
+/// Counters of streams and of resumptions.
 #[derive(Debug)]
 pub(super) struct StreamCounters {
     streams: Counter<u64>,
@@ -105,7 +105,7 @@
             resumptions: counter(
                 meter,
                 "teaselworks_stream_resumptions",
-                "Attempts to resume a stream within an answer, by outcome.",
+                "Attempts to resume a stream, by the caller or within an answer, by outcome.",
             ),
         };
         for ending in StreamEnding::ALL {
@@ -126,7 +126,7 @@
         self.streams.streams.add(1, &stream_labels(ending, runs));
     }
 
-    /// Counts an attempt to resume a stream within an answer.
+    /// Counts an attempt to resume a stream.
     pub fn add_stream_resumption(&self, outcome: ResumptionOutcome) {
         self.streams.resumptions.add(1, &[KeyValue::new("outcome", outcome.as_str())]);
     }
--- a/teaselworks/src/relay/event_splitter.rs
+++ b/teaselworks/src/relay/event_splitter.rs
@@ -6,6 +6,15 @@
 /// Largest incomplete event that is buffered until its end arrives.
 const MAX_PARTIAL_EVENT_BYTES: usize = 1 << 20;
 
+/// Why received bytes are not forwarded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SplitError {
+    /// The incomplete event is larger than 1 MiB.
+    TooLarge,
+    /// The first event of a run does not come after the one that it should go on after.
+    NotContinued,
+}
+
 /// Buffers an incomplete event until its end arrives, and returns complete events only.
 ///
 /// If a stream breaks off, another engine can resume it after the last complete event. That engine
@@ -13,16 +22,22 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    /// Identifier of the event that the run goes on after; `None` if it begins the stream.
+    after: Option<Box<str>>,
+    has_run_begun: bool,
     first_id: Option<Box<str>>,
     last_id: Option<Box<str>>,
-    last_id_before_run: Option<Box<str>>,
     event_count: u64,
 }
 
 impl EventSplitter {
+    /// Creates the splitter of a stream that goes on after the event `after`, if there is one.
+    pub fn resuming(after: Option<&str>) -> Self {
+        Self { after: after.map(Box::from), ..Self::default() }
+    }
+
     /// Adds received bytes and returns the events that are now complete, unchanged. The result is
-    /// empty if none is complete, and `None` if none is complete and the incomplete event is larger
-    /// than 1 MiB.
+    /// empty if none is complete.
     ///
     /// ```
     /// use teaselworks::relay::EventSplitter;
@@ -32,33 +47,54 @@
     /// assert_eq!(splitter.last_id(), Some("1"));
     /// assert_eq!(splitter.push(b"data: b\n\n").unwrap(), "id: 2\ndata: b\n\n");
     /// ```
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, SplitError> {
         // The blank line that ends an event may be split between two calls, so that the search
         // starts one byte before the new bytes.
         let search_start = self.partial.len().saturating_sub(1);
         self.partial.extend_from_slice(bytes);
         let Some(end) = memmem::rfind(&self.partial[search_start..], b"\n\n") else {
-            return (self.partial.len() <= MAX_PARTIAL_EVENT_BYTES).then(Bytes::new);
+            if self.partial.len() > MAX_PARTIAL_EVENT_BYTES {
+                return Err(SplitError::TooLarge);
+            }
+            return Ok(Bytes::new());
         };
         let complete = self.partial.split_to(search_start + end + 2).freeze();
         let events = Events::parse(&complete);
-        self.event_count += events.count;
-        if let (None, Some(id)) = (&self.first_id, events.first_id) {
-            self.first_id = Some(id.into());
+        if events.count > 0 && !self.has_run_begun {
+            self.has_run_begun = true;
+            self.first_id = events.first_id.map(Box::from);
+            if self.after.as_deref().is_some_and(|after| !comes_after(events.first_id, after)) {
+                return Err(SplitError::NotContinued);
+            }
         }
+        self.event_count += events.count;
         if let Some(id) = events.last_id {
             self.last_id = Some(id.into());
         }
-        Some(complete)
+        Ok(complete)
     }
 
-    /// Starts a run, whose events go on after those of the one before.
+    /// Starts another run, which goes on after the last event of the ones before.
     pub fn start_run(&mut self) {
+        self.partial.clear();
+        self.has_run_begun = false;
         self.first_id = None;
-        self.last_id_before_run.clone_from(&self.last_id);
+        if self.last_id.is_some() {
+            self.after.clone_from(&self.last_id);
+        }
     }
 
-    /// Returns the identifier of the first complete event of this run that has one.
+    /// Returns whether the run has brought an event.
+    pub fn has_run_begun(&self) -> bool {
+        self.has_run_begun
+    }
+
+    /// Returns the identifier of the event that the run goes on after.
+    pub fn after(&self) -> Option<&str> {
+        self.after.as_deref()
+    }
+
+    /// Returns the identifier of the run's first event.
     pub fn first_id(&self) -> Option<&str> {
         self.first_id.as_deref()
     }
@@ -68,11 +104,6 @@
         self.last_id.as_deref()
     }
 
-    /// Returns the identifier of the last event of the runs before.
-    pub fn last_id_before_run(&self) -> Option<&str> {
-        self.last_id_before_run.as_deref()
-    }
-
     /// Returns the number of complete events of all runs.
     pub fn event_count(&self) -> u64 {
         self.event_count
@@ -93,6 +124,7 @@
 #[derive(Debug, Default)]
 struct Events<'a> {
     count: u64,
+    /// Identifier of the first event.
     first_id: Option<&'a str>,
     last_id: Option<&'a str>,
 }
@@ -117,8 +149,10 @@
                 events.count += 1;
             }
             if let Some(id) = id_of(line) {
-                events.first_id = events.first_id.or(Some(id));
                 events.last_id = Some(id);
+                if events.count == 1 {
+                    events.first_id = Some(id);
+                }
             }
         }
         events
@@ -127,5 +161,16 @@
 
 /// Returns the identifier that a line states.
 fn id_of(line: &[u8]) -> Option<&str> {
-    std::str::from_utf8(line.strip_prefix(b"id:")?).ok().map(str::trim)
+    let id = std::str::from_utf8(line.strip_prefix(b"id:")?).ok()?.trim();
+    (!id.is_empty()).then_some(id)
+}
+
+/// Returns whether an event with this identifier comes after the event `after`. Identifiers that are
+/// not numbers have no order, and only have to differ.
+fn comes_after(id: Option<&str>, after: &str) -> bool {
+    let Some(id) = id else { return false };
+    match (id.parse::<u64>(), after.parse::<u64>()) {
+        (Ok(id), Ok(after)) => id > after,
+        _ => id != after,
+    }
 }
--- a/teaselworks/src/relay/event_stream.rs
+++ b/teaselworks/src/relay/event_stream.rs
@@ -5,8 +5,7 @@
 use bytes::Bytes;
 use teaselworks_policy::retry::Failure;
 
-use super::body::BodyError;
-use super::event_splitter::EventSplitter;
+use super::event_splitter::{EventSplitter, SplitError};
 use super::in_flight::InFlightRequest;
 use super::request::PreparedRequest;
 use super::shared::Shared;
@@ -37,7 +36,8 @@
 
 /// A resumption whose first event has not come yet.
 struct Resumption {
-    failure: Failure,
+    /// How the run before ended; `None` if that was in another answer.
+    failure: Option<Failure>,
     from: Run,
 }
 
@@ -47,14 +47,12 @@
     request: Arc<str>,
     fingerprint: u64,
     /// Identifier of the event after which the caller resumes the stream, cut for the log.
-    after: Option<Box<str>>,
+    caller_after: Option<Box<str>>,
     splitter: EventSplitter,
     /// Identifier of the first event, cut for the log.
     first_id: Option<Box<str>>,
     /// Number of runs that brought an event.
     runs: u32,
-    /// Whether the current run has brought an event.
-    has_run_begun: bool,
     run: Run,
     resumption: Option<Resumption>,
     ending: StreamEnding,
@@ -67,41 +65,40 @@
         prepared: &PreparedRequest,
         in_flight: &InFlightRequest,
     ) -> Self {
+        let after = headers::last_event_id(&prepared.headers);
+        let after = after.filter(|_| prepared.route.is_resumable);
         Self {
             shared,
             request: prepared.metadata.id.clone(),
             fingerprint: prepared.fingerprint,
-            after: headers::last_event_id(&prepared.headers).map(|id| shorten(id).into()),
-            splitter: EventSplitter::default(),
+            caller_after: after.map(|id| shorten(id).into()),
+            splitter: EventSplitter::resuming(after),
             first_id: None,
             runs: 0,
-            has_run_begun: false,
             run: Run::of(in_flight),
-            resumption: None,
+            resumption: after.map(|_| Resumption { failure: None, from: Run::default() }),
             ending: StreamEnding::CallerLeft,
         }
     }
 
     /// Adds received bytes and returns the events that are now complete; empty if none is.
-    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, BodyError> {
-        let count = self.splitter.event_count();
-        let events = self.splitter.push(bytes).ok_or(BodyError::TooLarge)?;
-        if self.splitter.event_count() > count && !self.has_run_begun {
+    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, SplitError> {
+        let had_begun = self.splitter.has_run_begun();
+        let events = self.splitter.push(bytes);
+        if events == Err(SplitError::NotContinued) {
+            self.end_resumption(ResumptionOutcome::NotContinued);
+        } else if !had_begun && self.splitter.has_run_begun() {
             self.on_run_began();
         }
-        Ok(events)
+        events
     }
 
     fn on_run_began(&mut self) {
-        self.has_run_begun = true;
         self.runs += 1;
         if self.runs == 1 {
             self.first_id = self.splitter.first_id().map(|id| shorten(id).into());
         }
-        if let Some(resumption) = self.resumption.take() {
-            let to = self.run.clone();
-            self.log_resumption(&resumption, &to, ResumptionOutcome::Continued, "");
-        }
+        self.end_resumption(ResumptionOutcome::Continued);
     }
 
     /// Returns whether an incomplete event is buffered.
@@ -117,14 +114,14 @@
     /// Records that the current run broke off, and discards its incomplete event.
     pub(super) fn on_broken(&mut self) {
         self.splitter.discard_partial_event();
-        self.end_resumption();
+        self.end_resumption(ResumptionOutcome::NoEvent);
     }
 
-    /// Ends a resumption that brought no event.
-    fn end_resumption(&mut self) {
+    /// Records the outcome of the current run if it resumes the stream.
+    fn end_resumption(&mut self, outcome: ResumptionOutcome) {
         if let Some(resumption) = self.resumption.take() {
             let to = self.run.clone();
-            self.log_resumption(&resumption, &to, ResumptionOutcome::NoEvent, "");
+            self.log_resumption(&resumption, &to, outcome, "");
         }
     }
 
@@ -136,7 +133,7 @@
         in_flight: Option<&InFlightRequest>,
         cause: &str,
     ) {
-        let resumption = Resumption { failure, from: self.run.clone() };
+        let resumption = Resumption { failure: Some(failure), from: self.run.clone() };
         let (to, outcome) = match in_flight {
             Some(in_flight) => (Run::of(in_flight), ResumptionOutcome::Failed),
             None => (Run::default(), ResumptionOutcome::Refused),
@@ -147,8 +144,7 @@
     /// Records that an answer resumes the stream after a `failure` of the run before.
     pub(super) fn on_resumed(&mut self, failure: Failure, in_flight: &InFlightRequest) {
         let from = std::mem::replace(&mut self.run, Run::of(in_flight));
-        self.resumption = Some(Resumption { failure, from });
-        self.has_run_begun = false;
+        self.resumption = Some(Resumption { failure: Some(failure), from });
         self.splitter.start_run();
     }
 
@@ -166,24 +162,29 @@
     ) {
         self.shared.metrics.add_stream_resumption(outcome);
         let from = &resumption.from;
+        let after = match outcome {
+            // The next run has not started.
+            ResumptionOutcome::Failed | ResumptionOutcome::Refused => self.splitter.last_id(),
+            _ => self.splitter.after(),
+        };
         let first_id = match outcome {
             ResumptionOutcome::Continued | ResumptionOutcome::NotContinued => {
-                self.splitter.first_id().unwrap_or_default()
+                self.splitter.first_id()
             }
-            _ => "",
+            _ => None,
         };
         event::STREAM_RESUMED.log(&[
             event::text("request", &self.request),
             event::text("fingerprint", &format_args!("{:x}", self.fingerprint)),
-            event::text("failure", &resumption.failure.as_str()),
+            event::text("failure", &resumption.failure.map_or("", Failure::as_str)),
             event::text("from_upstream", &from.upstream),
             event::text("from_service", &from.service),
             event::text("from_version", &from.version),
             event::text("to_upstream", &to.upstream),
             event::text("to_service", &to.service),
             event::text("to_version", &to.version),
-            event::text("after_event", &shorten(self.splitter.last_id_before_run().unwrap_or(""))),
-            event::text("first_event", &shorten(first_id)),
+            event::text("after_event", &shorten(after.unwrap_or(""))),
+            event::text("first_event", &shorten(first_id.unwrap_or(""))),
             event::text("outcome", &outcome.as_str()),
             event::text("cause", &cause),
         ]);
@@ -192,7 +193,7 @@
 
 impl Drop for EventStream {
     fn drop(&mut self) {
-        self.end_resumption();
+        self.end_resumption(ResumptionOutcome::NoEvent);
         self.shared.metrics.add_stream(self.ending, self.runs);
         event::STREAM_ENDED.log(&[
             event::text("request", &self.request),
@@ -200,7 +201,7 @@
             event::text("upstream", &self.run.upstream),
             event::text("service", &self.run.service),
             event::text("version", &self.run.version),
-            event::text("after_event", &self.after.as_deref().unwrap_or("")),
+            event::text("after_event", &self.caller_after.as_deref().unwrap_or("")),
             event::text("first_event", &self.first_id.as_deref().unwrap_or("")),
             event::text("last_event", &shorten(self.splitter.last_id().unwrap_or(""))),
             event::number("events", self.splitter.event_count()),
--- a/teaselworks/src/relay/mod.rs
+++ b/teaselworks/src/relay/mod.rs
@@ -30,7 +30,7 @@
 pub use self::body::{OutgoingBody, empty_body};
 pub use self::caller::CallerPort;
 pub use self::connection_pool::ConnectionPool;
-pub use self::event_splitter::EventSplitter;
+pub use self::event_splitter::{EventSplitter, SplitError};
 pub use self::forwarded::serve_forwarded;
 pub use self::open_connections::OpenCallerConnections;
 pub use self::part_change::PartChange;
--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -17,6 +17,7 @@
 use super::attempt::Answer;
 use super::body::{BodyError, OutgoingBody};
 use super::dispatch::Dispatched;
+use super::event_splitter::SplitError;
 use super::event_stream::EventStream;
 use super::in_flight::InFlightRequest;
 use super::origin::Origin;
@@ -149,7 +150,14 @@
                 None => return Ok(None),
             };
             let data = match &mut self.events {
-                Some(events) => events.push(&data)?,
+                Some(events) => match events.push(&data) {
+                    Ok(data) => data,
+                    Err(SplitError::TooLarge) => return Err(BodyError::TooLarge),
+                    Err(SplitError::NotContinued) => {
+                        self.resume(Failure::Foreign).await?;
+                        continue;
+                    }
+                },
                 None => data,
             };
             if !data.is_empty() {
