Do not resume a stream after an event without an identifier

Callers saw events twice: a stream that broke off after an event without an identifier was sent again from its start, or after the last event that had one.

Cause: the splitter kept the identifier of the last event that has one, and a stream without any was dispatched as a new request.

Change: the identifier is that of the last event that was forwarded. If it has none, no engine can be told where to go on: the answer ends incomplete and the request runs once. `stream_resumed` says `refused`, `no_event_id`.

--- a/teaselworks/src/relay/event_splitter.rs
+++ b/teaselworks/src/relay/event_splitter.rs
@@ -68,8 +68,8 @@
             }
         }
         self.event_count += events.count;
-        if let Some(id) = events.last_id {
-            self.last_id = Some(id.into());
+        if events.count > 0 {
+            self.last_id = events.last_id.map(Box::from);
         }
         Ok(complete)
     }
@@ -79,7 +79,7 @@
         self.partial.clear();
         self.has_run_begun = false;
         self.first_id = None;
-        if self.last_id.is_some() {
+        if self.event_count > 0 {
             self.after.clone_from(&self.last_id);
         }
     }
@@ -99,7 +99,7 @@
         self.first_id.as_deref()
     }
 
-    /// Returns the identifier of the last complete event that has one.
+    /// Returns the identifier of the last complete event; `None` if it has none.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
@@ -109,6 +109,12 @@
         self.event_count
     }
 
+    /// Returns whether another run can be told where to go on: nothing has been returned yet, or the
+    /// last event has an identifier.
+    pub fn can_resume(&self) -> bool {
+        self.event_count == 0 || self.last_id.is_some()
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial_event(&self) -> bool {
         !self.partial.is_empty()
@@ -126,6 +132,7 @@
     count: u64,
     /// Identifier of the first event.
     first_id: Option<&'a str>,
+    /// Identifier of the last event.
     last_id: Option<&'a str>,
 }
 
@@ -147,6 +154,7 @@
             if !is_in_event {
                 is_in_event = true;
                 events.count += 1;
+                events.last_id = None;
             }
             if let Some(id) = id_of(line) {
                 events.last_id = Some(id);
--- a/teaselworks/src/relay/event_stream.rs
+++ b/teaselworks/src/relay/event_stream.rs
@@ -106,7 +106,12 @@
         self.splitter.has_partial_event()
     }
 
-    /// Returns the identifier of the last event that was forwarded.
+    /// Returns whether another upstream can be told where to go on.
+    pub(super) fn can_resume(&self) -> bool {
+        self.splitter.can_resume()
+    }
+
+    /// Returns the identifier of the last event that was forwarded; `None` if it has none.
     pub(super) fn last_id(&self) -> Option<&str> {
         self.splitter.last_id()
     }
--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -251,6 +251,10 @@
         }
         let Some(events) = &mut self.events else { return Err(BodyError::Broken) };
         events.on_broken();
+        if !events.can_resume() {
+            events.on_not_resumed(failure, None, "no_event_id");
+            return Err(BodyError::Broken);
+        }
         let last_id = events.last_id().map(str::to_owned);
         loop {
             self.request_state.authorize_retry(failure, true).map_err(|_| BodyError::Broken)?;
--- a/teaselworks/tests/event_splitter.rs
+++ b/teaselworks/tests/event_splitter.rs
@@ -39,3 +39,23 @@
     assert_eq!(after(Some("c"), "id: c\n\n"), Err(SplitError::NotContinued));
     assert_eq!(after(None, "data: a\n\n"), Ok("data: a\n\n".into()));
 }
+
+/// Guards against a stream that is resumed at an earlier event since the last one has no identifier.
+#[test]
+fn a_stream_is_resumed_only_after_an_event_with_an_identifier() {
+    let cases = [
+        ("", true),
+        (": warm\n\n", true),
+        ("id: 1\ndata: a\n\n", true),
+        ("id: 1\ndata: a\n\n: warm\n\n", true),
+        ("data: a\n\nid: 2\ndata: b\n\n", true),
+        ("data: a\n\n", false),
+        ("id: 1\ndata: a\n\ndata: b\n\n", false),
+        ("id: 1\ndata: a\n\nid:\ndata: b\n\n", false),
+    ];
+    for (events, can_resume) in cases {
+        let mut splitter = EventSplitter::default();
+        splitter.push(events.as_bytes()).unwrap();
+        assert_eq!(splitter.can_resume(), can_resume, "{events:?}");
+    }
+}
--- a/teaselworks/tests/stream_order.rs
+++ b/teaselworks/tests/stream_order.rs
@@ -205,6 +205,24 @@
 }
 
 /// Guards against pieces that come twice since the last event before a break has no identifier, so that no
+/// engine can be told where to go on.
+#[tokio::test]
+async fn a_stream_that_breaks_after_an_event_without_identifier_is_not_resumed() {
+    let fleet = fleet(1).await;
+    let beginnings =
+        ["data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n", "id: 1\ndata: a\n\nid:\ndata: b\n\n"];
+    for (number, beginning) in beginnings.into_iter().enumerate() {
+        set_engines(&fleet, move |req| match last_event(req) {
+            None => pieces(req.id(), [beginning], Step::Reset),
+            Some(last) => rest(req, last),
+        });
+        let id = format!("bare{number}");
+        let reply = send(&fleet, "/gloss/a", &id).await;
+        assert_eq!((&*reply.text(), reply.body.is_whole), (beginning, false), "{number}");
+        assert_eq!(run_count(&fleet, &id), 1, "{number}");
+    }
+}
+
 /// Guards against an event without an identifier that is joined to a stream, though nothing says that it
 /// comes after the last one.
 #[tokio::test]
