Recognize events whose lines end with CR LF

Callers got nothing of a stream whose lines end with CR LF, which the format allows, and then an incomplete answer: no event ever counted as complete, and the end of the stream counted as a break inside one.

Cause: the splitter looked for LF LF only.

Change: a blank line ends with LF or CR LF; bytes are forwarded unchanged. Lines that end with CR alone are not recognized.

--- a/teaselworks/src/relay/event_splitter.rs
+++ b/teaselworks/src/relay/event_splitter.rs
@@ -49,16 +49,16 @@
     /// ```
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, SplitError> {
         // The blank line that ends an event may be split between two calls, so that the search
-        // starts one byte before the new bytes.
-        let search_start = self.partial.len().saturating_sub(1);
+        // starts two bytes before the new bytes.
+        let search_start = self.partial.len().saturating_sub(2);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = memmem::rfind(&self.partial[search_start..], b"\n\n") else {
+        let Some(end) = end_of_events(&self.partial[search_start..]) else {
             if self.partial.len() > MAX_PARTIAL_EVENT_BYTES {
                 return Err(SplitError::TooLarge);
             }
             return Ok(Bytes::new());
         };
-        let complete = self.partial.split_to(search_start + end + 2).freeze();
+        let complete = self.partial.split_to(search_start + end).freeze();
         let events = Events::parse(&complete);
         if events.count > 0 && !self.has_run_begun {
             self.has_run_begun = true;
@@ -126,6 +126,13 @@
     }
 }
 
+/// Returns the end of the last blank line. Lines end with LF or CR LF.
+fn end_of_events(bytes: &[u8]) -> Option<usize> {
+    let after_lf = memmem::rfind(bytes, b"\n\n").map(|start| start + 2);
+    let after_cr_lf = memmem::rfind(bytes, b"\n\r\n").map(|start| start + 3);
+    after_lf.max(after_cr_lf)
+}
+
 /// What complete events say about their order.
 #[derive(Debug, Default)]
 struct Events<'a> {
--- a/teaselworks/tests/event_splitter.rs
+++ b/teaselworks/tests/event_splitter.rs
@@ -59,3 +59,20 @@
         assert_eq!(splitter.can_resume(), can_resume, "{events:?}");
     }
 }
+
+/// Guards against events that are held back or lost since their lines end with CR LF, wherever the
+/// stream is split.
+#[test]
+fn events_with_carriage_returns_are_returned_when_complete() {
+    for text in ["id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", "id: 1\n\nid: 2\n\r\n"] {
+        for split in 0..text.len() {
+            let mut splitter = EventSplitter::default();
+            let first = splitter.push(&text.as_bytes()[..split]).unwrap();
+            assert!(text.as_bytes().starts_with(&first), "{split}");
+            let second = splitter.push(&text.as_bytes()[split..]).unwrap();
+            assert_eq!([first, second].concat(), text.as_bytes(), "{split}");
+            assert_eq!((splitter.last_id(), splitter.event_count()), (Some("2"), 2), "{split}");
+            assert!(!splitter.has_partial_event(), "{split}");
+        }
+    }
+}
--- a/teaselworks/tests/stream_order.rs
+++ b/teaselworks/tests/stream_order.rs
@@ -249,6 +249,28 @@
 }
 
 /// Guards against events that are held back to the end, or a stream that is taken for broken, since its
+/// lines end with CR LF.
+#[tokio::test]
+async fn a_stream_with_carriage_returns_is_forwarded_and_resumed() {
+    let fleet = fleet(1).await;
+    let lines = |numbers| events(numbers).replace('\n', "\r\n");
+    let third = lines(3..=3);
+    for target in ["/chat/a", "/gloss/a"] {
+        set_engines(&fleet, move |req| pieces(req.id(), [&*lines(1..=5)], last_chunk()));
+        let reply = send(&fleet, target, &format!("cr{}", target.len())).await;
+        assert_eq!((reply.text(), reply.body.is_whole), (lines(1..=5), true), "{target}");
+    }
+    for cut in 1..third.len() {
+        let third = third.clone();
+        set_engines(&fleet, move |req| match last_event(req) {
+            None => pieces(req.id(), [&*lines(1..=2), &third[..cut]], Step::Reset),
+            Some(last) => pieces(req.id(), [&*lines(last + 1..=5)], last_chunk()),
+        });
+        let reply = send(&fleet, "/gloss/a", &format!("crcut{cut}")).await;
+        assert_eq!((reply.text(), reply.body.is_whole), (lines(1..=5), true), "{cut}");
+    }
+}
+
 /// Guards against an answer to an earlier request, or an interim one, that is taken for the head of a
 /// stream or of its rest.
 #[tokio::test]
