Resume a stream only with a stream of events

Callers saw a stream end as whole after its second event: an answer of another media type without a body was taken for the rest, and its end for that of the stream.

Cause: the answer that resumes a stream was accepted by its status alone.

Change: it must be a stream of events too; else the attempt counts as failed.

--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -55,12 +55,12 @@
         let source = Source { body, connection, is_closing: metadata.closes_connection, in_flight };
         Self { status, headers, source, buffered }
     }
+}
 
-    /// Returns whether the answer is a stream of server-sent events.
-    fn has_events(&self) -> bool {
-        let media_type = self.headers.get(header::CONTENT_TYPE).map(HeaderValue::as_bytes);
-        media_type.is_some_and(|media_type| media_type.starts_with(EVENT_STREAM.as_bytes()))
-    }
+/// Returns whether an answer with these headers is a stream of server-sent events.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let media_type = headers.get(header::CONTENT_TYPE).map(HeaderValue::as_bytes);
+    media_type.is_some_and(|media_type| media_type.starts_with(EVENT_STREAM.as_bytes()))
 }
 
 /// Returns the response to the caller: the head of the answer, and a body that forwards the rest.
@@ -69,7 +69,7 @@
     mut request_state: RequestState,
     progress: RequestProgress,
 ) -> Response<OutgoingBody> {
-    let events = answer.has_events().then(|| {
+    let events = is_event_stream(&answer.headers).then(|| {
         let shared = request_state.shared.clone();
         EventStream::new(shared, &request_state.prepared, &answer.source.in_flight)
     });
@@ -117,7 +117,7 @@
 struct StreamRelay {
     /// Part of the body that was already read and is yet to be forwarded.
     buffered: Option<Bytes>,
-    /// Status of the answer. Only an answer with the same status can resume it.
+    /// Status of the answer. Only a stream of events with the same status can resume it.
     status: StatusCode,
     /// `None` between the loss of one upstream and the answer of the next.
     source: Option<Source>,
@@ -268,9 +268,15 @@
                     }
                 };
             let answer = match answer {
-                Ok(answer) if answer.status == self.status => answer,
+                Ok(answer) if answer.status == self.status && is_event_stream(&answer.headers) => {
+                    answer
+                }
                 Ok(answer) => {
-                    events.on_not_resumed(failure, Some(&in_flight), answer.status.as_str());
+                    let cause = match answer.status {
+                        status if status == self.status => "media_type",
+                        ref status => status.as_str(),
+                    };
+                    events.on_not_resumed(failure, Some(&in_flight), cause);
                     in_flight.set_outcome(RequestOutcome::Error);
                     failure = Failure::Failed;
                     continue;
--- a/teaselworks/tests/stream_order.rs
+++ b/teaselworks/tests/stream_order.rs
@@ -327,3 +327,16 @@
         }
     }
 }
+
+/// Guards against a stream that looks whole though it stopped early, since an answer without events was
+/// taken for its rest.
+#[tokio::test]
+async fn an_empty_answer_that_is_no_stream_of_events_is_not_the_rest() {
+    let fleet = fleet(1).await;
+    set_engines(&fleet, |req| match last_event(req) {
+        None => pieces(req.id(), [&*events(1..=2)], Step::Reset),
+        Some(_) => Script::response(req, 200, ""),
+    });
+    let reply = send(&fleet, "/gloss/a", "empty").await;
+    assert_eq!((reply.text(), reply.body.is_whole), (events(1..=2), false));
+}
