Forward blank lines after an event at once

Callers saw a whole stream as incomplete, or a resumable one run twice, if a further blank line after its last event arrived by itself.

Cause: the blank line was buffered as an incomplete event, and the end of the stream counted as a break inside it.

Change: line ends without anything before them are forwarded when they arrive.

Failed before: stream_order::a_blank_line_at_the_end_of_a_stream_is_no_event (five events, incomplete).

--- a/teaselworks/src/relay/event_splitter.rs
+++ b/teaselworks/src/relay/event_splitter.rs
@@ -53,6 +53,9 @@
         let search_start = self.partial.len().saturating_sub(2);
         self.partial.extend_from_slice(bytes);
         let Some(end) = end_of_events(&self.partial[search_start..]) else {
+            if self.has_only_line_ends() {
+                return Ok(self.partial.split().freeze());
+            }
             if self.partial.len() > MAX_PARTIAL_EVENT_BYTES {
                 return Err(SplitError::TooLarge);
             }
@@ -74,6 +77,11 @@
         Ok(complete)
     }
 
+    /// Returns whether only further blank lines after an event are buffered.
+    fn has_only_line_ends(&self) -> bool {
+        self.partial.iter().all(|byte| matches!(byte, b'\r' | b'\n'))
+    }
+
     /// Starts another run, which goes on after the last event of the ones before.
     pub fn start_run(&mut self) {
         self.partial.clear();
--- a/teaselworks/tests/stream_order.rs
+++ b/teaselworks/tests/stream_order.rs
@@ -2,11 +2,15 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{chat, fleet};
 use teaselworks_standin::caller::{Reply, call};
 use teaselworks_standin::fleet::Fleet;
 use teaselworks_standin::upstream::{ReceivedRequest, Script, Step, chunk, event, stream_head};
 
+/// Time in which a piece arrives before the next one is sent.
+const PAUSE: Duration = Duration::from_millis(20);
 /// Numbers of the events of a whole stream.
 const WHOLE: [u32; 5] = [1, 2, 3, 4, 5];
 
@@ -340,3 +344,24 @@
     let reply = send(&fleet, "/gloss/a", "empty").await;
     assert_eq!((reply.text(), reply.body.is_whole), (events(1..=2), false));
 }
+
+/// Guards against a whole stream that is taken for one that stopped inside an event since a further blank
+/// line arrived by itself.
+#[tokio::test]
+async fn a_blank_line_at_the_end_of_a_stream_is_no_event() {
+    let fleet = fleet(1).await;
+    for (number, blank) in ["\n", "\r\n", "\n\n\n"].into_iter().enumerate() {
+        set_engines(&fleet, move |req| {
+            let mut script = pieces(req.id(), [&*events(1..=5), blank], last_chunk());
+            script.steps.insert(2, Step::Pause(PAUSE));
+            script
+        });
+        for target in ["/chat/a", "/gloss/a"] {
+            let id = format!("blank{number}{}", &target[1..2]);
+            let reply = send(&fleet, target, &id).await;
+            let expected = events(1..=5) + blank;
+            assert_eq!((reply.text(), reply.body.is_whole), (expected, true), "{id}");
+            assert_eq!(run_count(&fleet, &id), 1, "{id}");
+        }
+    }
+}
