--- a/teaselworks/src/relay/event_splitter.rs
+++ b/teaselworks/src/relay/event_splitter.rs
@@ -1,11 +1,20 @@
 //! Splits a stream of server-sent events into complete events.
 
 use bytes::{Bytes, BytesMut};
-use memchr::memmem;
+use memchr::{memchr, memmem};
 
 /// Largest incomplete event that is buffered until its end arrives.
 const MAX_PARTIAL_EVENT_BYTES: usize = 1 << 20;
 
+/// Why received bytes are not forwarded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SplitError {
+    /// The incomplete event is larger than 1 MiB.
+    TooLarge,
+    /// The first event of a run does not come after the one that it should go on after.
+    NotContinued,
+}
+
 /// Buffers an incomplete event until its end arrives, and returns complete events only.
 ///
 /// If a stream breaks off, another engine can resume it after the last complete event. That engine
@@ -13,13 +22,22 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    /// Identifier of the event that the run goes on after; `None` if it begins the stream.
+    after: Option<Box<str>>,
+    has_run_begun: bool,
+    first_id: Option<Box<str>>,
     last_id: Option<Box<str>>,
+    event_count: u64,
 }
 
 impl EventSplitter {
+    /// Creates the splitter of a stream that goes on after the event `after`, if there is one.
+    pub fn resuming(after: Option<&str>) -> Self {
+        Self { after: after.map(Box::from), ..Self::default() }
+    }
+
     /// Adds received bytes and returns the events that are now complete, unchanged. The result is
-    /// empty if none is complete, and `None` if none is complete and the incomplete event is larger
-    /// than 1 MiB.
+    /// empty if none is complete.
     ///
     /// ```
     /// use teaselworks::relay::EventSplitter;
@@ -29,26 +47,82 @@
     /// assert_eq!(splitter.last_id(), Some("1"));
     /// assert_eq!(splitter.push(b"data: b\n\n").unwrap(), "id: 2\ndata: b\n\n");
     /// ```
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, SplitError> {
         // The blank line that ends an event may be split between two calls, so that the search
-        // starts one byte before the new bytes.
-        let search_start = self.partial.len().saturating_sub(1);
+        // starts two bytes before the new bytes.
+        let search_start = self.partial.len().saturating_sub(2);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = memmem::rfind(&self.partial[search_start..], b"\n\n") else {
-            return (self.partial.len() <= MAX_PARTIAL_EVENT_BYTES).then(Bytes::new);
+        let Some(end) = end_of_events(&self.partial[search_start..]) else {
+            if self.has_only_line_ends() {
+                return Ok(self.partial.split().freeze());
+            }
+            if self.partial.len() > MAX_PARTIAL_EVENT_BYTES {
+                return Err(SplitError::TooLarge);
+            }
+            return Ok(Bytes::new());
         };
-        let complete = self.partial.split_to(search_start + end + 2).freeze();
-        if let Some(id) = last_id(&complete) {
-            self.last_id = Some(id.into());
+        let complete = self.partial.split_to(search_start + end).freeze();
+        let events = Events::parse(&complete);
+        if events.count > 0 && !self.has_run_begun {
+            self.has_run_begun = true;
+            self.first_id = events.first_id.map(Box::from);
+            if self.after.as_deref().is_some_and(|after| !comes_after(events.first_id, after)) {
+                return Err(SplitError::NotContinued);
+            }
+        }
+        self.event_count += events.count;
+        if events.count > 0 {
+            self.last_id = events.last_id.map(Box::from);
+        }
+        Ok(complete)
+    }
+
+    /// Returns whether only further blank lines after an event are buffered.
+    fn has_only_line_ends(&self) -> bool {
+        self.partial.iter().all(|byte| matches!(byte, b'\r' | b'\n'))
+    }
+
+    /// Starts another run, which goes on after the last event of the ones before.
+    pub fn start_run(&mut self) {
+        self.partial.clear();
+        self.has_run_begun = false;
+        self.first_id = None;
+        if self.event_count > 0 {
+            self.after.clone_from(&self.last_id);
         }
-        Some(complete)
     }
 
-    /// Returns the identifier of the last complete event that has one.
+    /// Returns whether the run has brought an event.
+    pub fn has_run_begun(&self) -> bool {
+        self.has_run_begun
+    }
+
+    /// Returns the identifier of the event that the run goes on after.
+    pub fn after(&self) -> Option<&str> {
+        self.after.as_deref()
+    }
+
+    /// Returns the identifier of the run's first event.
+    pub fn first_id(&self) -> Option<&str> {
+        self.first_id.as_deref()
+    }
+
+    /// Returns the identifier of the last complete event; `None` if it has none.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
 
+    /// Returns the number of complete events of all runs.
+    pub fn event_count(&self) -> u64 {
+        self.event_count
+    }
+
+    /// Returns whether another run can be told where to go on: nothing has been returned yet, or the
+    /// last event has an identifier.
+    pub fn can_resume(&self) -> bool {
+        self.event_count == 0 || self.last_id.is_some()
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial_event(&self) -> bool {
         !self.partial.is_empty()
@@ -60,17 +134,66 @@
     }
 }
 
-/// Returns the identifier in the last `id:` line of complete events.
-fn last_id(events: &[u8]) -> Option<&str> {
-    let mut end = events.len();
-    while let Some(start) = memmem::rfind(&events[..end], b"id:") {
-        if start > 0 && events[start - 1] != b'\n' {
-            end = start;
-            continue;
+/// Returns the end of the last blank line. Lines end with LF or CR LF.
+fn end_of_events(bytes: &[u8]) -> Option<usize> {
+    let after_lf = memmem::rfind(bytes, b"\n\n").map(|start| start + 2);
+    let after_cr_lf = memmem::rfind(bytes, b"\n\r\n").map(|start| start + 3);
+    after_lf.max(after_cr_lf)
+}
+
+/// What complete events say about their order.
+#[derive(Debug, Default)]
+struct Events<'a> {
+    count: u64,
+    /// Identifier of the first event.
+    first_id: Option<&'a str>,
+    /// Identifier of the last event.
+    last_id: Option<&'a str>,
+}
+
+impl<'a> Events<'a> {
+    /// Parses complete events. Blocks of comments only do not count as events.
+    fn parse(mut bytes: &'a [u8]) -> Self {
+        let mut events = Self::default();
+        let mut is_in_event = false;
+        while let Some(length) = memchr(b'\n', bytes) {
+            let line = bytes[..length].strip_suffix(b"\r").unwrap_or(&bytes[..length]);
+            bytes = &bytes[length + 1..];
+            if line.is_empty() {
+                is_in_event = false;
+                continue;
+            }
+            if line[0] == b':' {
+                continue;
+            }
+            if !is_in_event {
+                is_in_event = true;
+                events.count += 1;
+                events.last_id = None;
+            }
+            if let Some(id) = id_of(line) {
+                events.last_id = Some(id);
+                if events.count == 1 {
+                    events.first_id = Some(id);
+                }
+            }
         }
-        let line = &events[start + 3..];
-        let length = memchr::memchr(b'\n', line)?;
-        return std::str::from_utf8(&line[..length]).ok().map(str::trim);
+        events
+    }
+}
+
+/// Returns the identifier that a line states.
+fn id_of(line: &[u8]) -> Option<&str> {
+    let id = std::str::from_utf8(line.strip_prefix(b"id:")?).ok()?.trim();
+    (!id.is_empty()).then_some(id)
+}
+
+/// Returns whether an event with this identifier comes after the event `after`. Identifiers that are
+/// not numbers have no order, and only have to differ.
+fn comes_after(id: Option<&str>, after: &str) -> bool {
+    let Some(id) = id else { return false };
+    match (id.parse::<u64>(), after.parse::<u64>()) {
+        (Ok(id), Ok(after)) => id > after,
+        _ => id != after,
     }
-    None
 }
