Log the end of a stream only where it was resumed or did not end whole

A line for each stream would be a third one for every request of stream routes. Of a stream that one run brought whole, request_answered tells as much; the counter teaselworks_streams has all of them.

--- a/teaselworks/src/relay/event_stream.rs
+++ b/teaselworks/src/relay/event_stream.rs
@@ -200,6 +200,11 @@
     fn drop(&mut self) {
         self.end_resumption(ResumptionOutcome::NoEvent);
         self.shared.metrics.add_stream(self.ending, self.runs);
+        // Of a stream that one run brought whole, `request_answered` tells as much.
+        let is_plain = self.ending == StreamEnding::Whole && self.runs <= 1;
+        if is_plain && self.caller_after.is_none() {
+            return;
+        }
         event::STREAM_ENDED.log(&[
             event::text("request", &self.request),
             event::text("fingerprint", &format_args!("{:x}", self.fingerprint)),
