--- a/teaselworks_standin/src/lib.rs
+++ b/teaselworks_standin/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod configuration;
+pub mod endless;
 pub mod engine;
 pub mod fleet;
 pub mod links;
--- a/teaselworks_standin/src/upstream.rs
+++ b/teaselworks_standin/src/upstream.rs
@@ -11,6 +11,7 @@
 use tokio::net::tcp::WriteHalf;
 use tokio_util::sync::CancellationToken;
 
+use crate::endless::{EndlessResponse, EndlessResponses};
 use crate::message::{Head, MessageReader, ReceivedBody, StartLine};
 use crate::port::{PortGuard, reset_when_dropped};
 
@@ -19,6 +20,8 @@
 pub enum Step {
     /// Writes bytes to the connection as they are.
     Write(Vec<u8>),
+    /// Writes the bytes again and again until the client closes the connection.
+    WriteForever(Vec<u8>),
     /// Waits before the next step.
     Pause(Duration),
     /// Closes the connection gracefully, with a FIN.
@@ -194,6 +197,7 @@
     behaviour: Mutex<Arc<Behaviour>>,
     received_requests: Mutex<Vec<ReceivedRequest>>,
     aborted_requests: Mutex<Vec<String>>,
+    endless_responses: EndlessResponses,
     /// Stops the listener and all connections; `None` while the replica is stopped.
     running: Mutex<Option<CancellationToken>>,
     crash_count: AtomicU64,
@@ -237,6 +241,7 @@
             behaviour: Mutex::new(Arc::new(behaviour)),
             received_requests: Mutex::default(),
             aborted_requests: Mutex::default(),
+            endless_responses: EndlessResponses::default(),
             running: Mutex::default(),
             crash_count: AtomicU64::new(0),
         };
@@ -314,6 +319,11 @@
         lock(&self.state.aborted_requests).clone()
     }
 
+    /// Returns the responses that write forever, in the order in which they began to.
+    pub fn endless_responses(&self) -> Vec<EndlessResponse> {
+        self.state.endless_responses.list()
+    }
+
     /// Closes every connection and refuses new ones.
     pub fn stop(&self) {
         self.state.stop();
@@ -387,8 +397,9 @@
         req.has_run = script.is_run;
         let id = req.id().to_owned();
         lock(&state.received_requests).push(req);
+        let playing = play_steps(&mut writer, script.steps, &state.endless_responses, &id);
         let after_script = tokio::select! {
-            after_script = play_steps(&mut writer, script.steps) => after_script,
+            after_script = playing => after_script,
             // A client that waits for a response sends nothing, so a completed read means that it
             // closed the connection.
             _ = messages.fill() => {
@@ -418,10 +429,16 @@
 }
 
 /// Plays the steps of a script on a connection.
-async fn play_steps(writer: &mut WriteHalf<'_>, steps: Vec<Step>) -> io::Result<AfterScript> {
+async fn play_steps(
+    writer: &mut WriteHalf<'_>,
+    steps: Vec<Step>,
+    endless: &EndlessResponses,
+    id: &str,
+) -> io::Result<AfterScript> {
     for step in steps {
         match step {
             Step::Write(bytes) => writer.write_all(&bytes).await?,
+            Step::WriteForever(bytes) => endless.write(writer, &bytes, id).await?,
             Step::Pause(time) => tokio::time::sleep(time).await,
             Step::Close => {
                 reset_when_dropped(writer.as_ref(), false);
