Let other tasks run while a peer sends without end

Cause: the HTTP library decodes as long as reads succeed, and tokio lets a task read 128 times without a break: up to 51 MB with the library's read buffers. A chunk size of zeros without end is decoded byte by byte, slower than a replica on a fast link sends it, so that one such body held the only thread of the router. Neither its own deadline nor any other request went on.

Change: reads of all connections of callers, upstreams, routers and the store are pending once after 64 KB, so that the other tasks and the timers have their turn.

Result: a_body_without_end_never_looks_whole with the chunk size failed before (no final answer 8 s after the request, whose deadline was 1 s; debug build) and passes now; the other callers of the test are served.

--- a/teaselworks/src/net.rs
+++ b/teaselworks/src/net.rs
@@ -1,5 +1,7 @@
 //! TCP listeners, and TCP connections that detect an unreachable peer.
 
+mod yielding_stream;
+
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,6 +9,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+pub use self::yielding_stream::YieldingStream;
 use crate::event;
 
 /// Longest time to open a connection. It is shorter than the time after which TCP sends the first
--- a/teaselworks/src/peers/client.rs
+++ b/teaselworks/src/peers/client.rs
@@ -4,13 +4,12 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
-use tokio::net::TcpStream;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, client_async};
 
 use super::message::{decode, encode};
 use super::{PeerError, PeerQuery, PeerResponse};
-use crate::net;
+use crate::net::{self, YieldingStream};
 
 /// Time limit for a response in addition to the wait that the query requests, and for opening a
 /// WebSocket. The other router responds from memory.
@@ -20,7 +19,7 @@
 #[derive(Debug)]
 pub struct PeerClient {
     address: SocketAddr,
-    socket: Option<WebSocketStream<TcpStream>>,
+    socket: Option<WebSocketStream<YieldingStream>>,
 }
 
 impl PeerClient {
@@ -52,16 +51,16 @@
     }
 }
 
-async fn open(address: SocketAddr) -> Result<WebSocketStream<TcpStream>, PeerError> {
+async fn open(address: SocketAddr) -> Result<WebSocketStream<YieldingStream>, PeerError> {
     let stream = net::connect(address).await.map_err(|_| PeerError::Connect)?;
-    let handshake = client_async(format!("ws://{address}/"), stream);
+    let handshake = client_async(format!("ws://{address}/"), YieldingStream::new(stream));
     let opened = tokio::time::timeout(RESPONSE_TIMEOUT, handshake).await;
     let (socket, _) = opened.map_err(|_| PeerError::Timeout)?.map_err(|_| PeerError::Broken)?;
     Ok(socket)
 }
 
 async fn exchange(
-    socket: &mut WebSocketStream<TcpStream>,
+    socket: &mut WebSocketStream<YieldingStream>,
     query: &PeerQuery,
 ) -> Result<PeerResponse, PeerError> {
     let encoded = encode(query)?;
--- a/teaselworks/src/platform/store.rs
+++ b/teaselworks/src/platform/store.rs
@@ -18,7 +18,7 @@
 
 use super::wire;
 use super::{Item, StoreError};
-use crate::net;
+use crate::net::{self, YieldingStream};
 
 /// Longest wait for the head of a response, and for each further part of its body. A call that
 /// times out is made again from the start, so the timeout leaves time for a slow store, and for a
@@ -320,8 +320,9 @@
     async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, StoreError> {
         let stream =
             net::connect(self.address).await.map_err(|error| StoreError::Connect(error.kind()))?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|_| StoreError::Broken)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(YieldingStream::new(stream)))
+            .await
+            .map_err(|_| StoreError::Broken)?;
         // The error is not needed: this task ends when the connection fails, and then
         // `SendRequest::is_closed` returns true.
         tokio::spawn(async move { connection.await.ok() });
--- a/teaselworks/src/relay/caller_connection.rs
+++ b/teaselworks/src/relay/caller_connection.rs
@@ -26,6 +26,7 @@
 use super::origin::Origin;
 use super::serve::serve;
 use crate::kernel::ShutdownPhase;
+use crate::net::YieldingStream;
 
 /// Minimum interval between checks of a connection for an expired timeout.
 const MIN_TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -134,6 +135,7 @@
         // before hyper has read the request.
         activity.set_reusable(false);
         let clock = shared.clock.clone();
+        let stream = YieldingStream::new(stream);
         let io = CallerStream { unread, stream, activity: activity.clone(), clock };
         let counter = self.counter.clone();
         let service = service_fn(|request: Request<Incoming>| {
@@ -160,7 +162,7 @@
                         return Ok(None);
                     }
                     let parts = connection.into_parts();
-                    let stream = parts.io.into_inner().stream;
+                    let stream = parts.io.into_inner().stream.into_inner();
                     // Copied, since even an empty slice would keep the whole read buffer alive.
                     let unread = Bytes::copy_from_slice(&parts.read_buf);
                     return Ok(Some(IdleCallerConnection { stream, unread }));
--- a/teaselworks/src/relay/io.rs
+++ b/teaselworks/src/relay/io.rs
@@ -11,7 +11,8 @@
 use bytes::{Buf, Bytes};
 use teaselworks_policy::clock::Clock;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+
+use crate::net::YieldingStream;
 
 /// Activity of one connection; decides when it times out and when it is idle.
 ///
@@ -115,7 +116,7 @@
 pub(super) struct CallerStream {
     /// Bytes that were read from the socket earlier; they are returned first.
     pub(super) unread: Bytes,
-    pub(super) stream: TcpStream,
+    pub(super) stream: YieldingStream,
     pub(super) activity: Arc<Activity>,
     pub(super) clock: Arc<dyn Clock>,
 }
--- a/teaselworks/src/relay/write_gate.rs
+++ b/teaselworks/src/relay/write_gate.rs
@@ -9,6 +9,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::net::YieldingStream;
+
 /// Nothing was written yet.
 const UNWRITTEN: u8 = 0;
 /// Bytes were written, or are being written now.
@@ -45,7 +47,7 @@
 /// the connection up on the failed write without reading the rejection. Once that is read, reading
 /// fails or ends, too.
 pub struct GatedStream {
-    stream: TcpStream,
+    stream: YieldingStream,
     gate: Arc<WriteGate>,
     has_write_failed: bool,
 }
@@ -53,7 +55,7 @@
 impl GatedStream {
     /// Puts a stream behind a gate of its own, which counts only what is written from now on.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, gate: Arc::default(), has_write_failed: false }
+        Self { stream: YieldingStream::new(stream), gate: Arc::default(), has_write_failed: false }
     }
 
     /// Returns the gate.
@@ -63,7 +65,7 @@
 
     /// Returns the stream.
     pub fn into_inner(self) -> TcpStream {
-        self.stream
+        self.stream.into_inner()
     }
 
     /// Writes unless the gate is closed. A first write that the kernel accepts no byte of leaves the
@@ -71,7 +73,7 @@
     fn poll_gated(
         &mut self,
         context: &mut Context<'_>,
-        write: impl FnOnce(Pin<&mut TcpStream>, &mut Context<'_>) -> Poll<io::Result<usize>>,
+        write: impl FnOnce(Pin<&mut YieldingStream>, &mut Context<'_>) -> Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
         if self.has_write_failed {
             return Poll::Pending;
--- a/teaselworks/tests/endless.rs
+++ b/teaselworks/tests/endless.rs
@@ -66,6 +66,7 @@
     vec![
         ("no length", endless(head(req, status, ""), "", "a verse ")),
         ("chunks", endless(head(req, status, CHUNKED), "", "5\r\nverse\r\n")),
+        ("chunk size", endless(head(req, status, CHUNKED), "5\r\nverse\r\n", "0")),
         ("chunk extension", endless(head(req, status, CHUNKED), "5;x=", "y")),
         ("trailer", endless(head(req, status, CHUNKED), "5\r\nverse\r\n0\r\nx: ", "y")),
         ("trailers", endless(head(req, status, CHUNKED), "5\r\nverse\r\n0\r\n", "x: y\r\n")),
@@ -190,7 +191,7 @@
 
 async fn body_without_end_never_looks_whole(status: u16) {
     let fleet = fleet(1).await;
-    for kind in 0..5 {
+    for kind in 0..6 {
         set_behaviour(&fleet, move |req| endless_bodies(req, status).swap_remove(kind).1);
         let before_kb = peak_memory_kb(&fleet.routers[0]);
         let name = format!("{status}-{kind}");
