Close idle connections on which an upstream has sent data

Cause: an idle connection was checked for data and for its end only when it was to be used again. Until then, or until the idle timeout that the upstream states, it stayed open, and an upstream that writes without end went on filling it.

Result: bytes_without_end_after_an_answer_reach_no_caller with a stated idle timeout of an hour failed before (the connection was open 30 s after the answer) and passes now.

--- a/teaselworks/src/relay/connection_pool.rs
+++ b/teaselworks/src/relay/connection_pool.rs
@@ -71,11 +71,14 @@
             .map_err(|error| io::Error::other(error.to_string()))
     }
 
-    /// Closes the idle connections that are no longer usable.
+    /// Closes the idle connections that are no longer usable, or that the upstream has closed or
+    /// sent data on.
     pub fn close_expired(&self, now: Duration) {
         let mut idle = self.idle.lock();
         for connections in idle.values_mut() {
-            connections.retain(|connection| connection.is_usable(now));
+            connections.retain(|connection| {
+                connection.is_usable(now) && is_open_and_silent(&connection.stream)
+            });
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
--- a/teaselworks/tests/endless.rs
+++ b/teaselworks/tests/endless.rs
@@ -253,11 +253,16 @@
     let fleet = fleet(1).await;
     let before_kb = peak_memory_kb(&fleet.routers[0]);
     let whole = Outcome { status: 200, is_whole: true };
-    let kinds: [(&str, Behaviour); 3] = [
+    let kinds: [(&str, Behaviour); 4] = [
         ("at once", |req| Script::response(req, 200, "a verse")),
         ("idle", |req| {
             Script::response(req, 200, "a verse").then(Step::Pause(Duration::from_millis(100)))
         }),
+        ("idle long", |req| {
+            Script::response(req, 200, "a verse")
+                .with_header("keep-alive: timeout=3600")
+                .then(Step::Pause(Duration::from_millis(100)))
+        }),
         ("no content", |req| {
             let head = format!(
                 "HTTP/1.1 204 No Content\r\nx-request-id: {}\r\nx-server-stamp: s\r\n\r\n",
