Pass on no status of an upstream that says that the request was not run

Cause: an error with 408, 429 or 503 of an upstream that has run the request is no answer for the caller. That was decided once the answer was complete; one larger than the buffer of 256 KB, or without end, was passed on while it arrived, with its status. Callers take that status as a promise and send a request that must not run twice again.

Change: such an answer fails the attempt when its head has arrived, and its body is not read.

--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -329,12 +329,18 @@
     if is_unverified && status.is_success() {
         return Err(Failure::Foreign);
     }
-    if !metadata.has_server_stamp {
+    // The body of an answer that is not passed on is not read: it may be of any length.
+    if !metadata.has_server_stamp || is_not_run_status(status) {
         return Err(Failure::Failed);
     }
     Ok(())
 }
 
+/// Returns whether callers conclude from the status that the request was not run.
+fn is_not_run_status(status: StatusCode) -> bool {
+    [408, 421, 429, 503].contains(&status.as_u16())
+}
+
 /// Checks that an answer comes from a router that took the request. A router also passes on its own
 /// refusals, which have no server stamp.
 fn check_router_answer(
--- a/teaselworks/tests/endless.rs
+++ b/teaselworks/tests/endless.rs
@@ -189,6 +189,15 @@
     body_without_end_never_looks_whole(200).await;
 }
 
+/// Guards against an error without end that callers take for a statement that the request was not
+/// run.
+#[tokio::test]
+async fn an_error_without_end_is_not_called_unrun() {
+    for status in [500, 503, 429] {
+        body_without_end_never_looks_whole(status).await;
+    }
+}
+
 async fn body_without_end_never_looks_whole(status: u16) {
     let fleet = fleet(1).await;
     for kind in 0..6 {
