--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -337,7 +337,7 @@
 }
 
 /// Returns whether callers conclude from the status that the request was not run.
-fn is_not_run_status(status: StatusCode) -> bool {
+pub(super) fn is_not_run_status(status: StatusCode) -> bool {
     [408, 421, 429, 503].contains(&status.as_u16())
 }
 
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -16,7 +16,7 @@
 use teaselworks_policy::verdict::{Refusal, RefusalReason};
 
 use super::Shared;
-use super::attempt::Answer;
+use super::attempt::{Answer, is_not_run_status};
 use super::body::{self, OutgoingBody};
 use super::dispatch::Dispatched;
 use super::in_flight::InFlightRequest;
@@ -331,8 +331,3 @@
         response
     }
 }
-
-/// Returns whether callers conclude from the status that the request was not run.
-fn is_not_run_status(status: StatusCode) -> bool {
-    [408, 421, 429, 503].contains(&status.as_u16())
-}
