Add a rig that plays troubles to routers forwarding streams

The soak has resumed streams only with the header `Resumes`, which no client of the platform sends, at three routers and one service a route.

Change: the program `streams` starts real routers (31) and engines (140) with the three streaming routes of that site. Callers go on with `Last-Event-Id` alone, under a new identifier, at another router, once. Every event names the run, engine, service and version that wrote it, and each stream is checked over all tries. 18 troubles can be played alone, in series or overlapping.

--- a/teaselworks_standin/src/caller.rs
+++ b/teaselworks_standin/src/caller.rs
@@ -133,6 +133,12 @@
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
 
+    /// Reads the body of a response into `bytes` and returns whether it is complete. If this is
+    /// cancelled, `bytes` has what was read.
+    pub async fn read_body_into(&mut self, head: &Head, bytes: &mut Vec<u8>) -> io::Result<bool> {
+        self.messages.read_body_into(head, bytes).await
+    }
+
     /// Reads a response; `None` if the connection is closed before its head ends. Fails with
     /// [`io::ErrorKind::TimedOut`] if its head or its body takes longer than [`REPLY_TIMEOUT`].
     pub async fn read_reply(&mut self) -> io::Result<Option<Reply>> {
--- a/teaselworks_standin/src/lib.rs
+++ b/teaselworks_standin/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod router;
 pub mod soak;
 pub mod store;
+pub mod stream_fleet;
 pub mod upstream;
--- a/teaselworks_standin/src/message.rs
+++ b/teaselworks_standin/src/message.rs
@@ -107,8 +107,9 @@
         body
     }
 
-    /// Reads a body into `bytes` and returns whether it is complete.
-    async fn read_body_into(&mut self, head: &Head, bytes: &mut Vec<u8>) -> io::Result<bool> {
+    /// Reads a body into `bytes` and returns whether it is complete. If this is cancelled, `bytes` has
+    /// what was read.
+    pub async fn read_body_into(&mut self, head: &Head, bytes: &mut Vec<u8>) -> io::Result<bool> {
         if head.is_chunked() {
             return self.read_chunked(bytes, |_| false).await;
         }
