Resume a stream only with the weights that wrote it

Callers got pieces of two weight versions in one answer without the line that says so: the replica that went on stated its version only in a head that the caller does not get.

Cause: a resumption within an answer did not name the version.

Change: it names the version of the last event (`X-Expect-Version`), from the head of the run or from the event at which the version changed; a router that forwards the rest gets it too, and a caller's own header of that name is still dropped. A replica with other weights answers 421, which does not count as its failure; an answer that states another version is not joined. Where the first replica states none, nothing changes.

--- a/teaselworks/src/platform/headers.rs
+++ b/teaselworks/src/platform/headers.rs
@@ -14,6 +14,11 @@
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
 /// Identifier of the only upstream that may run the request.
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-expect-instance");
+/// Version of the weights that may run the request.
+const EXPECT_VERSION: HeaderName = HeaderName::from_static("x-expect-version");
+/// Version of the weights that write an answer. An event at which it changes states it in its first
+/// line.
+const WEIGHT_VERSIONS: HeaderName = HeaderName::from_static("x-weight-versions");
 /// Name of the caller's workspace, which the platform calls a tenant.
 const TENANT: HeaderName = HeaderName::from_static("x-tenant");
 const MODEL: HeaderName = HeaderName::from_static("x-model");
@@ -66,7 +71,7 @@
     TENANT,
     EXPECT_INSTANCE,
     PRIORITY,
-    HeaderName::from_static("x-expect-version"),
+    EXPECT_VERSION,
     HeaderName::from_static("x-cache-hold"),
     HeaderName::from_static("x-pin-ms"),
     HeaderName::from_static("x-kv-backup"),
@@ -90,6 +95,8 @@
     pub prompt: Option<Prompt>,
     /// The stream that the request resumes, if it does.
     pub resumed_stream: Option<ResumedStream>,
+    /// Version of the weights that may run the request. Only other routers may state it.
+    pub weight_version: Option<Box<str>>,
 }
 
 /// A stream that a request resumes.
@@ -143,9 +150,10 @@
             .contains_key(&LAST_EVENT_ID)
             .then(|| ResumedStream { id: id.clone(), is_named: false }),
     };
+    let weight_version = single_value(headers, &EXPECT_VERSION).map(Box::from);
     let model = single_value(headers, &MODEL).unwrap_or_default().into();
     let prompt = parse_prompt(headers);
-    Ok(RequestMetadata { id, deadline, api_key, model, prompt, resumed_stream })
+    Ok(RequestMetadata { id, deadline, api_key, model, prompt, resumed_stream, weight_version })
 }
 
 /// Returns the host that a request names.
@@ -182,6 +190,12 @@
     single_value(headers, &LAST_EVENT_ID).filter(|id| !id.is_empty())
 }
 
+/// Returns the version of the weights that the first line of an event states.
+pub fn weight_version_of_line(line: &[u8]) -> Option<&str> {
+    let value = line.strip_prefix(WEIGHT_VERSIONS.as_str().as_bytes())?.strip_prefix(b":")?;
+    std::str::from_utf8(value).ok().map(str::trim)
+}
+
 /// Parses a number of milliseconds from 0 to 1e9, which may have a fraction.
 fn parse_milliseconds(value: &str) -> Option<Duration> {
     let ms: f64 = value.trim().parse().ok()?;
@@ -222,6 +236,8 @@
     pub holder: Option<SocketAddr>,
     /// Identifier of the event after which a resumed stream continues; replaces the caller's.
     pub last_event_id: Option<&'a str>,
+    /// Version of the weights that may run the request.
+    pub weight_version: Option<&'a str>,
 }
 
 /// Least urgent priority that engines accept.
@@ -257,9 +273,7 @@
     if let Some(holder) = added.holder {
         insert_if_valid(&mut forwarded, KV_FETCH, &holder.to_string());
     }
-    if let Some(id) = added.last_event_id {
-        insert_if_valid(&mut forwarded, LAST_EVENT_ID, id);
-    }
+    set_resumption(&mut forwarded, added.last_event_id, added.weight_version);
     forwarded
 }
 
@@ -267,11 +281,12 @@
 /// without those that frame the body.
 ///
 /// `remaining` is the time left until the deadline of the request. `last_event_id` replaces the
-/// caller's when a stream is resumed.
+/// caller's when a stream is resumed, by weights of `weight_version` if that is known.
 pub fn router_request_headers(
     headers: &HeaderMap,
     remaining: Duration,
     last_event_id: Option<&str>,
+    weight_version: Option<&str>,
 ) -> HeaderMap {
     let mut forwarded = HeaderMap::with_capacity(headers.len());
     let options = connection_options(headers);
@@ -285,10 +300,22 @@
         }
     }
     set_remaining(&mut forwarded, remaining);
+    set_resumption(&mut forwarded, last_event_id, weight_version);
+    forwarded
+}
+
+/// States where a stream goes on and which weights may write the rest, as far as that is known.
+fn set_resumption(
+    headers: &mut HeaderMap,
+    last_event_id: Option<&str>,
+    weight_version: Option<&str>,
+) {
     if let Some(id) = last_event_id {
-        insert_if_valid(&mut forwarded, LAST_EVENT_ID, id);
+        insert_if_valid(headers, LAST_EVENT_ID, id);
+    }
+    if let Some(version) = weight_version {
+        insert_if_valid(headers, EXPECT_VERSION, version);
     }
-    forwarded
 }
 
 /// States the time left until the deadline of a request in its headers.
@@ -338,6 +365,8 @@
     pub max_rejections: Option<u32>,
     /// Time for which the upstream says it is still cold.
     pub cold_remaining: Option<Duration>,
+    /// Version of the weights that write the answer, if stated.
+    pub weight_version: Option<Box<str>>,
     /// Identifier of the upstream that answered, if stated.
     pub upstream_id: Option<Box<str>>,
     /// Time for which an upstream that rejected a request wants no other one from this router.
@@ -368,6 +397,7 @@
         max_rejections: single_value(headers, &SERVER_BRITTLE)
             .and_then(|value| value.trim().parse().ok()),
         cold_remaining: single_value(headers, &COLD_REMAINING).and_then(parse_milliseconds),
+        weight_version: single_value(headers, &WEIGHT_VERSIONS).map(Box::from),
         upstream_id: single_value(headers, &INSTANCE_ID).map(Box::from),
         rest: (status == SERVICE_UNAVAILABLE)
             .then(|| single_value(headers, &header::RETRY_AFTER).and_then(parse_seconds))
--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -13,6 +13,7 @@
 
 use super::Shared;
 use super::body::OutgoingBody;
+use super::dispatch::Resumption;
 use super::origin::MAX_RUNS;
 use super::request::PreparedRequest;
 use super::upstream_connection::Connection;
@@ -64,8 +65,7 @@
     shared: &'a Arc<Shared>,
     prepared: &'a PreparedRequest,
     recipient: Recipient<'a>,
-    /// Identifier of the event after which a stream is resumed.
-    last_event_id: Option<&'a str>,
+    resumption: Resumption<'a>,
     /// Time by which the recipient's deadline is shorter than the request's.
     reply_margin: Duration,
     /// Time after the deadline for which the recipient's answer is awaited.
@@ -79,7 +79,7 @@
         shared: &'a Arc<Shared>,
         prepared: &'a PreparedRequest,
         recipient: Recipient<'a>,
-        last_event_id: Option<&'a str>,
+        resumption: Resumption<'a>,
         reply_wait: Duration,
     ) -> Self {
         let reply_margin = shared.fleet().connect_times.reply_margin();
@@ -87,7 +87,7 @@
             shared,
             prepared,
             recipient,
-            last_event_id,
+            resumption,
             reply_margin,
             reply_wait,
             record: SendRecord::default(),
@@ -233,8 +233,9 @@
     fn router_request_headers(&self, max_runs: u32) -> HeaderMap {
         let prepared = self.prepared;
         let remaining = self.remaining_upstream();
+        let Resumption { after, weight_version } = self.resumption;
         let mut headers =
-            headers::router_request_headers(&prepared.headers, remaining, self.last_event_id);
+            headers::router_request_headers(&prepared.headers, remaining, after, weight_version);
         headers.insert(MAX_RUNS, HeaderValue::from(max_runs));
         headers
     }
@@ -251,7 +252,8 @@
             workspace: prepared.workspace.as_ref().map(|workspace| &*workspace.name),
             priority: prepared.route.has_prompts.then(|| prepared.engine_priority(self.shared)),
             holder,
-            last_event_id: self.last_event_id,
+            last_event_id: self.resumption.after,
+            weight_version: self.resumption.weight_version,
         };
         headers::upstream_request_headers(&prepared.headers, &added)
     }
--- a/teaselworks/src/relay/dispatch.rs
+++ b/teaselworks/src/relay/dispatch.rs
@@ -28,13 +28,22 @@
     pub(super) in_flight: InFlightRequest,
 }
 
+/// Where a stream that is resumed goes on.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Resumption<'a> {
+    /// Identifier of the last complete event.
+    pub(super) after: Option<&'a str>,
+    /// Version of the weights that wrote it.
+    pub(super) weight_version: Option<&'a str>,
+}
+
 impl RequestState {
     /// Makes one attempt. Returns a refusal if there is nothing to send the request to.
     ///
-    /// `resumed_after` is the identifier of the last complete event of a stream that is resumed.
+    /// `resumption` is given if the answer has begun.
     pub(super) async fn dispatch(
         &mut self,
-        resumed_after: Option<&str>,
+        resumption: Option<Resumption<'_>>,
     ) -> Result<Dispatched, Refusal> {
         let now = self.shared.now();
         // A request that is sent without any time left may be read by a replica that then has no
@@ -45,16 +54,23 @@
         let max_retry_after = self.prepared.deadline.max_retry_after(now);
         let (id, fingerprint) = (&self.prepared.metadata.id, self.prepared.fingerprint);
         self.shared.admit_fingerprint(id, fingerprint, max_retry_after)?;
+        // The router that the caller sent the request to may have begun the answer.
+        let stated = match self.origin {
+            Origin::Caller => None,
+            Origin::Router { .. } => self.prepared.metadata.weight_version.clone(),
+        };
+        let mut resumption = resumption.unwrap_or_default();
+        resumption.weight_version = resumption.weight_version.or(stated.as_deref());
         if !self.shared.fleet().needs_detour(now, &self.prepared.service) {
-            let dispatched = self.send_to_replica(resumed_after).await?;
+            let dispatched = self.send_to_replica(resumption).await?;
             if !self.has_failed_for_link(&dispatched) {
                 return Ok(dispatched);
             }
         }
         match self.origin {
             Origin::Caller => {
-                self.admit_detour(resumed_after)?;
-                self.send_through_router(resumed_after).await
+                self.admit_detour(resumption.after)?;
+                self.send_through_router(resumption).await
             }
             Origin::Router { .. } => Err(self.unsent(RefusalReason::Unreachable)),
         }
@@ -66,21 +82,19 @@
             && self.shared.fleet().is_link_down(&self.prepared.service)
     }
 
-    async fn send_to_replica(
-        &mut self,
-        resumed_after: Option<&str>,
-    ) -> Result<Dispatched, Refusal> {
-        let placement = self.place(resumed_after)?;
+    async fn send_to_replica(&mut self, resumption: Resumption<'_>) -> Result<Dispatched, Refusal> {
+        let placement = self.place(resumption.after)?;
         let in_flight = self.track_in_flight(&placement);
         let (body, size_bytes) =
             self.body.for_attempt().ok_or(Refusal::may_have_run(RefusalReason::UpstreamFailed))?;
         let recipient =
             Recipient::Replica { upstream: &placement.upstream, holder: placement.holder };
         // A stream that is resumed has begun: its caller gets no status any more.
-        let reply_wait = if resumed_after.is_some() { Duration::ZERO } else { self.reply_wait() };
+        let reply_wait =
+            if resumption.after.is_some() { Duration::ZERO } else { self.reply_wait() };
         let mut attempt =
-            Attempt::new(&self.shared, &self.prepared, recipient, resumed_after, reply_wait);
-        if resumed_after.is_some() {
+            Attempt::new(&self.shared, &self.prepared, recipient, resumption, reply_wait);
+        if resumption.after.is_some() {
             let answer = attempt.run(body, size_bytes).await;
             return Ok(Dispatched { answer, in_flight });
         }
@@ -107,7 +121,7 @@
     /// Asks one router after the other to forward the request, until one has taken it.
     async fn send_through_router(
         &mut self,
-        resumed_after: Option<&str>,
+        resumption: Resumption<'_>,
     ) -> Result<Dispatched, Refusal> {
         for _ in 0..MAX_DETOURS {
             let now = self.shared.now();
@@ -122,9 +136,9 @@
             self.log_detour(router, remaining);
             let recipient = Recipient::Router { address: router, max_runs: self.remaining_runs() };
             let reply_wait =
-                if resumed_after.is_some() { Duration::ZERO } else { self.reply_wait() };
+                if resumption.after.is_some() { Duration::ZERO } else { self.reply_wait() };
             let mut attempt =
-                Attempt::new(&self.shared, &self.prepared, recipient, resumed_after, reply_wait);
+                Attempt::new(&self.shared, &self.prepared, recipient, resumption, reply_wait);
             let answer = attempt.run(body, size_bytes).await;
             let is_unavailable = answer
                 .as_ref()
--- a/teaselworks/src/relay/event_splitter.rs
+++ b/teaselworks/src/relay/event_splitter.rs
@@ -3,6 +3,8 @@
 use bytes::{Bytes, BytesMut};
 use memchr::{memchr, memmem};
 
+use crate::platform::headers;
+
 /// Largest incomplete event that is buffered until its end arrives.
 const MAX_PARTIAL_EVENT_BYTES: usize = 1 << 20;
 
@@ -28,6 +30,7 @@
     first_id: Option<Box<str>>,
     last_id: Option<Box<str>>,
     event_count: u64,
+    weight_version: Option<Box<str>>,
 }
 
 impl EventSplitter {
@@ -74,6 +77,9 @@
         if events.count > 0 {
             self.last_id = events.last_id.map(Box::from);
         }
+        if let Some(version) = events.weight_version {
+            self.weight_version = Some(version.into());
+        }
         Ok(complete)
     }
 
@@ -112,6 +118,11 @@
         self.last_id.as_deref()
     }
 
+    /// Returns the version of the weights to which the stream last changed, if it did.
+    pub fn weight_version(&self) -> Option<&str> {
+        self.weight_version.as_deref()
+    }
+
     /// Returns the number of complete events of all runs.
     pub fn event_count(&self) -> u64 {
         self.event_count
@@ -149,6 +160,8 @@
     first_id: Option<&'a str>,
     /// Identifier of the last event.
     last_id: Option<&'a str>,
+    /// Version of the weights to which they last change.
+    weight_version: Option<&'a str>,
 }
 
 impl<'a> Events<'a> {
@@ -170,6 +183,8 @@
                 is_in_event = true;
                 events.count += 1;
                 events.last_id = None;
+                events.weight_version =
+                    headers::weight_version_of_line(line).or(events.weight_version);
             }
             if let Some(id) = id_of(line) {
                 events.last_id = Some(id);
--- a/teaselworks/src/relay/event_stream.rs
+++ b/teaselworks/src/relay/event_stream.rs
@@ -11,7 +11,7 @@
 use super::shared::Shared;
 use crate::event;
 use crate::metrics::{ResumptionOutcome, StreamEnding};
-use crate::platform::headers;
+use crate::platform::headers::{self, ResponseMetadata};
 
 /// Number of characters to which identifiers of events are cut in the log.
 const MAX_LOGGED_ID_CHARS: usize = 64;
@@ -49,6 +49,8 @@
     /// Identifier of the event after which the caller resumes the stream, cut for the log.
     caller_after: Option<Box<str>>,
     splitter: EventSplitter,
+    /// Version of the weights that the head of an answer states.
+    weight_version: Option<Box<str>>,
     /// Identifier of the first event, cut for the log.
     first_id: Option<Box<str>>,
     /// Number of runs that brought an event.
@@ -64,6 +66,7 @@
         shared: Arc<Shared>,
         prepared: &PreparedRequest,
         in_flight: &InFlightRequest,
+        weight_version: Option<Box<str>>,
     ) -> Self {
         let after = headers::last_event_id(&prepared.headers);
         let after = after.filter(|_| prepared.route.is_resumable);
@@ -73,6 +76,7 @@
             fingerprint: prepared.fingerprint,
             caller_after: after.map(|id| shorten(id).into()),
             splitter: EventSplitter::resuming(after),
+            weight_version,
             first_id: None,
             runs: 0,
             run: Run::of(in_flight),
@@ -116,6 +120,11 @@
         self.splitter.last_id()
     }
 
+    /// Returns the version of the weights that wrote the last event, if it is known.
+    pub(super) fn weight_version(&self) -> Option<&str> {
+        self.splitter.weight_version().or(self.weight_version.as_deref())
+    }
+
     /// Records that the current run broke off, and discards its incomplete event.
     pub(super) fn on_broken(&mut self) {
         self.splitter.discard_partial_event();
@@ -147,7 +156,14 @@
     }
 
     /// Records that an answer resumes the stream after a `failure` of the run before.
-    pub(super) fn on_resumed(&mut self, failure: Failure, in_flight: &InFlightRequest) {
+    pub(super) fn on_resumed(
+        &mut self,
+        failure: Failure,
+        in_flight: &InFlightRequest,
+        metadata: &ResponseMetadata,
+    ) {
+        self.weight_version =
+            self.weight_version.take().or_else(|| metadata.weight_version.clone());
         let from = std::mem::replace(&mut self.run, Run::of(in_flight));
         self.resumption = Some(Resumption { failure: Some(failure), from });
         self.splitter.start_run();
--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -16,7 +16,7 @@
 
 use super::attempt::Answer;
 use super::body::{BodyError, OutgoingBody};
-use super::dispatch::Dispatched;
+use super::dispatch::{Dispatched, Resumption};
 use super::event_splitter::SplitError;
 use super::event_stream::EventStream;
 use super::in_flight::InFlightRequest;
@@ -37,6 +37,8 @@
     source: Source,
     /// Part of the body that was already read.
     buffered: Bytes,
+    /// Version of the weights that write the answer, if stated.
+    weight_version: Option<Box<str>>,
 }
 
 /// The upstream connection that an answer currently arrives on.
@@ -53,7 +55,7 @@
     pub(super) fn new(answer: Answer, in_flight: InFlightRequest, buffered: Bytes) -> Self {
         let Answer { status, headers, metadata, body, connection } = answer;
         let source = Source { body, connection, is_closing: metadata.closes_connection, in_flight };
-        Self { status, headers, source, buffered }
+        Self { status, headers, source, buffered, weight_version: metadata.weight_version }
     }
 }
 
@@ -63,6 +65,25 @@
     media_type.is_some_and(|media_type| media_type.starts_with(EVENT_STREAM.as_bytes()))
 }
 
+/// Returns why an answer can't resume a stream with this status, which weights of `weight_version` wrote
+/// as far as that is known; `None` if it can.
+fn mismatch(
+    answer: &Answer,
+    status: StatusCode,
+    weight_version: Option<&str>,
+) -> Option<&'static str> {
+    let stated = answer.metadata.weight_version.as_deref();
+    if answer.status != status {
+        Some("status")
+    } else if !is_event_stream(&answer.headers) {
+        Some("media_type")
+    } else if stated.is_some() && weight_version.is_some() && stated != weight_version {
+        Some("weight_version")
+    } else {
+        None
+    }
+}
+
 /// Returns the response to the caller: the head of the answer, and a body that forwards the rest.
 pub(super) fn respond(
     answer: StreamingAnswer,
@@ -71,14 +92,15 @@
 ) -> Response<OutgoingBody> {
     let events = is_event_stream(&answer.headers).then(|| {
         let shared = request_state.shared.clone();
-        EventStream::new(shared, &request_state.prepared, &answer.source.in_flight)
+        let version = answer.weight_version.clone();
+        EventStream::new(shared, &request_state.prepared, &answer.source.in_flight, version)
     });
     request_state.release_request();
     let remaining = request_state.prepared.deadline.remaining(request_state.shared.now());
     // An answer that begins after the deadline is forwarded if it is ready.
     let remaining =
         if remaining.is_zero() { request_state.remaining_for_answer() } else { remaining };
-    let StreamingAnswer { status, mut headers, source, buffered } = answer;
+    let StreamingAnswer { status, mut headers, source, buffered, .. } = answer;
     if let Origin::Router { .. } = request_state.origin {
         headers::set_upstream_id(&mut headers, source.in_flight.upstream());
     }
@@ -117,7 +139,7 @@
 struct StreamRelay {
     /// Part of the body that was already read and is yet to be forwarded.
     buffered: Option<Bytes>,
-    /// Status of the answer. Only a stream of events with the same status can resume it.
+    /// Status of the answer.
     status: StatusCode,
     /// `None` between the loss of one upstream and the answer of the next.
     source: Option<Source>,
@@ -256,11 +278,13 @@
             return Err(BodyError::Broken);
         }
         let last_id = events.last_id().map(str::to_owned);
+        let weight_version = events.weight_version().map(str::to_owned);
+        let weight_version = weight_version.as_deref();
         loop {
             self.request_state.authorize_retry(failure, true).map_err(|_| BodyError::Broken)?;
-            let after = last_id.as_deref();
+            let resumption = Resumption { after: last_id.as_deref(), weight_version };
             let Dispatched { answer, mut in_flight } =
-                match self.request_state.dispatch(after).await {
+                match self.request_state.dispatch(Some(resumption)).await {
                     Ok(dispatched) => dispatched,
                     Err(refusal) => {
                         events.on_not_resumed(failure, None, refusal.reason.as_str());
@@ -268,31 +292,30 @@
                     }
                 };
             let answer = match answer {
-                Ok(answer) if answer.status == self.status && is_event_stream(&answer.headers) => {
-                    answer
-                }
-                Ok(answer) => {
-                    let cause = match answer.status {
-                        status if status == self.status => "media_type",
-                        ref status => status.as_str(),
-                    };
-                    events.on_not_resumed(failure, Some(&in_flight), cause);
-                    in_flight.set_outcome(RequestOutcome::Error);
-                    failure = Failure::Failed;
-                    continue;
-                }
+                Ok(answer) => match mismatch(&answer, self.status, weight_version) {
+                    None => answer,
+                    Some(cause) => {
+                        events.on_not_resumed(failure, Some(&in_flight), cause);
+                        in_flight.set_outcome(RequestOutcome::Error);
+                        failure = Failure::Failed;
+                        continue;
+                    }
+                },
                 Err(attempt_failure) => {
                     let cause = attempt_failure.as_str();
                     events.on_not_resumed(failure, Some(&in_flight), cause);
                     if self.request_state.is_break(attempt_failure) {
                         in_flight.on_broken().await;
                     }
-                    in_flight.set_outcome(request_outcome(attempt_failure));
+                    // A replica whose weights have another version is not at fault.
+                    if attempt_failure != Failure::Moved || weight_version.is_none() {
+                        in_flight.set_outcome(request_outcome(attempt_failure));
+                    }
                     failure = attempt_failure;
                     continue;
                 }
             };
-            events.on_resumed(failure, &in_flight);
+            events.on_resumed(failure, &in_flight, &answer.metadata);
             in_flight.on_resumed();
             if let Some(load) = answer.metadata.load {
                 in_flight.on_load_report(load);
--- a/teaselworks/tests/common/mod.rs
+++ b/teaselworks/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test binary uses only some of these helpers")]
 
 pub mod crashes;
+pub mod pieces;
 pub mod streams;
 
 use serde_json::Value;
--- a/teaselworks/tests/stream_order.rs
+++ b/teaselworks/tests/stream_order.rs
@@ -4,56 +4,14 @@
 
 use std::time::Duration;
 
+use common::pieces::{WHOLE, events, last_chunk, last_event, pieces, rest, send, set_engines};
 use common::{chat, fleet};
-use teaselworks_standin::caller::{Reply, call};
+use teaselworks_standin::caller::call;
 use teaselworks_standin::fleet::Fleet;
-use teaselworks_standin::upstream::{ReceivedRequest, Script, Step, chunk, event, stream_head};
+use teaselworks_standin::upstream::{Script, Step, chunk, event, stream_head};
 
 /// Time in which a piece arrives before the next one is sent.
 const PAUSE: Duration = Duration::from_millis(20);
-/// Numbers of the events of a whole stream.
-const WHOLE: [u32; 5] = [1, 2, 3, 4, 5];
-
-/// Returns the identifier of the event after which a request resumes a stream.
-fn last_event(req: &ReceivedRequest) -> Option<u32> {
-    req.head.header("last-event-id").and_then(|id| id.parse().ok())
-}
-
-/// Returns a chunked stream of these pieces, followed by `end`.
-fn pieces<'a>(id: &str, pieces: impl IntoIterator<Item = &'a str>, end: Step) -> Script {
-    let mut steps = vec![Step::Write(stream_head(id))];
-    steps.extend(pieces.into_iter().map(|piece| Step::Write(chunk(piece))));
-    steps.push(end);
-    Script::new(steps)
-}
-
-/// Returns the text of consecutive events.
-fn events(numbers: std::ops::RangeInclusive<u32>) -> String {
-    numbers.map(event).collect()
-}
-
-/// Returns a step that ends a chunked answer properly.
-fn last_chunk() -> Step {
-    Step::Write(b"0\r\n\r\n".to_vec())
-}
-
-/// Goes on with a stream after the event `last`, to its end.
-fn rest(req: &ReceivedRequest, last: u32) -> Script {
-    pieces(req.id(), [&*events(last + 1..=5)], last_chunk())
-}
-
-fn set_engines(
-    fleet: &Fleet,
-    behaviour: impl Fn(&ReceivedRequest) -> Script + Clone + Send + Sync + 'static,
-) {
-    for engine in &fleet.engines {
-        engine.set_behaviour(behaviour.clone());
-    }
-}
-
-async fn send(fleet: &Fleet, target: &str, id: &str) -> Reply {
-    call(fleet.routers[0].callers_address(), &chat(target, id, 1)).await.unwrap()
-}
 
 /// Guards against joined streams whose runs, and who decided on them, the log does not name.
 #[tokio::test]
@@ -107,11 +65,14 @@
 async fn a_stream_cut_inside_an_event_goes_on_with_that_event() {
     let fleet = fleet(1).await;
     let third = event(3);
-    for end in [Step::Reset, Step::Close, last_chunk()] {
-        for cut in 1..third.len() {
+    for (end, first_cut) in [(Step::Reset, 0), (Step::Close, 0), (last_chunk(), 1)] {
+        for cut in first_cut..third.len() {
             let (third, break_end) = (third.clone(), end.clone());
             set_engines(&fleet, move |req| match last_event(req) {
-                None => pieces(req.id(), [&*events(1..=2), &third[..cut]], break_end.clone()),
+                None => {
+                    let text = events(1..=2) + &third[..cut];
+                    pieces(req.id(), [&*text], break_end.clone())
+                }
                 Some(last) => rest(req, last),
             });
             let reply = send(&fleet, "/gloss/a", &format!("cut{cut}{end:?}")).await;
