Count the silence of a resumed run from its head

Callers lost streams that an engine had just gone on with: where it took longer than the silence timeout to send its head, it was abandoned as soon as the head had come, and the answer ended incomplete if no other engine was left.

Cause: after a break the time of the last arrival stayed that of the broken run. Only a resumption after silence set it.

Change: each resumption sets it when the head of the next run arrives.

--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -251,7 +251,6 @@
         }
         if self.events.is_some() && self.request_state.try_take_silence_retry() {
             self.resume(Failure::Silent).await?;
-            self.last_arrival = self.request_state.shared.now();
         }
         Ok(())
     }
@@ -327,6 +326,7 @@
                 is_closing: metadata.closes_connection,
                 in_flight,
             });
+            self.last_arrival = self.request_state.shared.now();
             return Ok(());
         }
     }
--- a/teaselworks/tests/stream_order.rs
+++ b/teaselworks/tests/stream_order.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use common::pieces::{WHOLE, events, last_chunk, last_event, pieces, rest, send, set_engines};
-use common::{chat, fleet};
+use common::{chat, fleet, fleet_with};
+use serde_json::json;
 use teaselworks_standin::caller::call;
+use teaselworks_standin::configuration::TestConfiguration;
 use teaselworks_standin::fleet::Fleet;
 use teaselworks_standin::upstream::{Script, Step, chunk, event, stream_head};
 
@@ -326,3 +328,27 @@
         }
     }
 }
+
+/// Guards against a stream that is cut since an engine which has just gone on with it counts as silent for
+/// the time in which it prepared that.
+#[tokio::test]
+async fn an_engine_that_takes_long_to_go_on_is_not_abandoned_at_once() {
+    let mut configuration = TestConfiguration::default();
+    let route = configuration.route_mut("/gloss/");
+    route["max_attempts"] = json!(3);
+    route["target_latency_ms"] = json!(50);
+    route["target_gap_ms"] = json!(50);
+    let fleet = fleet_with(1, configuration, &json!({})).await;
+    set_engines(&fleet, |req| match last_event(req) {
+        None => pieces(req.id(), [&*events(1..=2)], Step::Reset),
+        Some(last) => {
+            let mut script = rest(req, last);
+            script.steps.insert(1, Step::Pause(PAUSE));
+            script.steps.insert(0, Step::Pause(20 * PAUSE));
+            script
+        }
+    });
+    let reply = send(&fleet, "/gloss/a", "slow").await;
+    assert_eq!((reply.text(), reply.body.is_whole), (events(1..=5), true));
+    assert_eq!(run_count(&fleet, "slow"), 2);
+}
