--- a/teaselworks/tests/common/mod.rs
+++ b/teaselworks/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crashes;
 pub mod endless;
+pub mod pieces;
 pub mod streams;
 
 use serde_json::Value;
