Limit the size of a response of the store

Cause: a router read the body of a response of the store to its end, whatever its size. A store that sends a body without end, of a success or of an error, used up the memory of the router, and the router neither called the store again nor asked other routers.

Change: a body of more than 16 MiB, for calls other than reads of more than 64 KiB, fails the call. The largest value that the platform's store takes has 1 MiB and 1.4 MiB on the wire.

--- a/teaselworks/src/platform/error.rs
+++ b/teaselworks/src/platform/error.rs
@@ -11,6 +11,8 @@
     Broken,
     /// No response, or no further part of one, arrived before the timeout.
     Timeout,
+    /// The body of a response is larger than any that the store sends.
+    TooLarge,
     /// The store responded with this HTTP status, which the call does not expect.
     Status(u16),
     /// The request could not be built or the response could not be decoded.
@@ -23,6 +25,7 @@
             StoreError::Connect(kind) => write!(f, "cannot connect to the store: {kind}"),
             StoreError::Broken => f.write_str("store connection failed or response is not HTTP"),
             StoreError::Timeout => f.write_str("no complete response from the store in time"),
+            StoreError::TooLarge => f.write_str("response from the store exceeds the size limit"),
             StoreError::Status(status) => write!(f, "store sent unexpected HTTP status {status}"),
             StoreError::Malformed(problem) => write!(f, "malformed request or response: {problem}"),
         }
--- a/teaselworks/src/platform/store.rs
+++ b/teaselworks/src/platform/store.rs
@@ -24,6 +24,11 @@
 /// times out is made again from the start, so the timeout leaves time for a slow store, and for a
 /// large response over a slow link.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Largest response to a read that is accepted. A page of items has about 1 MB, or one value of the
+/// largest size that the store takes, and a watch returns a few of these.
+const MAX_READ_BYTES: usize = 16 << 20;
+/// Largest response to any other call that is accepted.
+const MAX_WRITE_BYTES: usize = 64 << 10;
 /// Time beyond the requested wait after which a watch call times out.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 
@@ -281,12 +286,13 @@
         body: Option<Bytes>,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
+        let max_bytes = if method == Method::GET { MAX_READ_BYTES } else { MAX_WRITE_BYTES };
         let response = self.send(method, path, body);
         let response =
             tokio::time::timeout(timeout, response).await.unwrap_or(Err(StoreError::Timeout));
         let (sender, response) = response?;
         let status = response.status();
-        let body = read_body(response.into_body()).await?;
+        let body = read_body(response.into_body(), max_bytes).await?;
         self.sender = Some(sender);
         Ok((status, body))
     }
@@ -330,17 +336,20 @@
     }
 }
 
-/// Reads a body to its end; fails if no further part of it arrives within [`CALL_TIMEOUT`].
-async fn read_body(mut body: Incoming) -> Result<Bytes, StoreError> {
+/// Reads a body to its end; fails if no further part of it arrives within [`CALL_TIMEOUT`], or if it
+/// is larger than `max_bytes`.
+async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, StoreError> {
     let mut bytes = BytesMut::new();
     loop {
         let frame = tokio::time::timeout(CALL_TIMEOUT, body.frame()).await;
         let Some(frame) = frame.map_err(|_| StoreError::Timeout)? else {
             return Ok(bytes.freeze());
         };
-        if let Ok(data) = frame.map_err(|_| StoreError::Broken)?.into_data() {
-            bytes.extend_from_slice(&data);
+        let Ok(data) = frame.map_err(|_| StoreError::Broken)?.into_data() else { continue };
+        if bytes.len() + data.len() > max_bytes {
+            return Err(StoreError::TooLarge);
         }
+        bytes.extend_from_slice(&data);
     }
 }
 
