Limit the time for a response of the store

Cause: the timeout of a body began anew with each byte. A store that sends a body byte by byte without end held the router that reads it: it neither called the store again nor asked other routers.

Change: 1 KiB of the body has to arrive within each 1.5 s, unless it ends, and the whole within 30 s.

--- a/teaselworks/src/platform/store.rs
+++ b/teaselworks/src/platform/store.rs
@@ -15,15 +15,21 @@
 use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tokio::time::Instant;
 
 use super::wire;
 use super::{Item, StoreError};
 use crate::net::{self, YieldingStream};
 
-/// Longest wait for the head of a response, and for each further part of its body. A call that
-/// times out is made again from the start, so the timeout leaves time for a slow store, and for a
-/// large response over a slow link.
+/// Longest wait for the head of a response, and for each further [`MIN_PART_BYTES`] of its body. A
+/// call that times out is made again from the start, so the timeout leaves time for a slow store, and
+/// for a large response over a slow link.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Least number of bytes of a body that arrive within [`CALL_TIMEOUT`], unless the body ends: less
+/// than one packet.
+const MIN_PART_BYTES: usize = 1 << 10;
+/// Longest time for a body. The largest value of the store takes less over a link of 0.5 Mbit/s.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Largest response to a read that is accepted. A page of items has about 1 MB, or one value of the
 /// largest size that the store takes, and a watch returns a few of these.
 const MAX_READ_BYTES: usize = 16 << 20;
@@ -336,12 +342,15 @@
     }
 }
 
-/// Reads a body to its end; fails if no further part of it arrives within [`CALL_TIMEOUT`], or if it
-/// is larger than `max_bytes`.
+/// Reads a body to its end. Fails if less than [`MIN_PART_BYTES`] of it arrive within
+/// [`CALL_TIMEOUT`], if it takes longer than [`BODY_TIMEOUT`], or if it is larger than `max_bytes`.
 async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, StoreError> {
     let mut bytes = BytesMut::new();
+    let body_end = Instant::now() + BODY_TIMEOUT;
+    let mut part_end = Instant::now() + CALL_TIMEOUT;
+    let mut part_start = 0;
     loop {
-        let frame = tokio::time::timeout(CALL_TIMEOUT, body.frame()).await;
+        let frame = tokio::time::timeout_at(part_end.min(body_end), body.frame()).await;
         let Some(frame) = frame.map_err(|_| StoreError::Timeout)? else {
             return Ok(bytes.freeze());
         };
@@ -350,6 +359,10 @@
             return Err(StoreError::TooLarge);
         }
         bytes.extend_from_slice(&data);
+        if bytes.len() >= part_start + MIN_PART_BYTES {
+            part_start = bytes.len();
+            part_end = Instant::now() + CALL_TIMEOUT;
+        }
     }
 }
 
--- a/teaselworks/tests/endless_platform.rs
+++ b/teaselworks/tests/endless_platform.rs
@@ -103,6 +103,25 @@
     }
 }
 
+/// Guards against a store that sends a response byte by byte without end and keeps the router from
+/// asking other routers.
+#[tokio::test]
+async fn a_store_that_responds_byte_by_byte_is_a_failed_store() {
+    let fleet = fleet(1).await;
+    let store = Upstream::start("store", |_| {
+        let mut steps = vec![Step::Write(b"HTTP/1.1 200 OK\r\n\r\n{\"items\": [".to_vec())];
+        for _ in 0..1_000 {
+            steps.extend([Step::Write(b" ".to_vec()), Step::Pause(Duration::from_millis(100))]);
+        }
+        Script::new(steps)
+    })
+    .unwrap();
+    let seeds = [fleet.routers[0].peers_address()];
+    let router = Router::start(program(), "router-1", store.address(), &seeds, &json!({})).unwrap();
+    wait_until("calls are given up", async || store.aborted_requests().len() >= 2).await.unwrap();
+    router.wait_until_ready().await.unwrap();
+}
+
 /// Accepts the WebSocket of a router, and then writes `start`, and `repeated` without end.
 fn endless_websocket(req: &ReceivedRequest, start: &[u8], repeated: &[u8]) -> Script {
     let key = req.head.header("sec-websocket-key").unwrap_or_default();
