--- a/teaselworks_standin/src/stream_fleet/callers.rs
+++ b/teaselworks_standin/src/stream_fleet/callers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
@@ -22,6 +22,9 @@
 const DEADLINE_GRACE: Duration = Duration::from_millis(500);
 /// Pause before a retry.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// Longest time for which a kept connection is idle before it is used again: four fifths of the
+/// `idle_timeout_ms` of the configuration.
+const MAX_IDLE: Duration = Duration::from_millis(4_000);
 /// Connections that are kept for each router.
 const MAX_KEPT_CONNECTIONS: usize = 4;
 /// Different prompts.
@@ -34,7 +37,8 @@
     pub(super) routers: Vec<SocketAddr>,
     /// Counts the times at which half of the callers lose their connections.
     pub(super) resets: watch::Sender<u64>,
-    kept: Mutex<HashMap<usize, Vec<Connection>>>,
+    /// Connections that are idle, by router, each with the time since which it is.
+    kept: Mutex<HashMap<usize, Vec<(Instant, Connection)>>>,
     records: Mutex<Vec<StreamRecord>>,
 }
 
@@ -177,7 +181,11 @@
             if previous == Some(router) && self.routers.len() > 1 {
                 continue;
             }
-            if may_reuse && let Some(connection) = self.kept().get_mut(&router).and_then(Vec::pop) {
+            if may_reuse
+                && let Some((idle_since, connection)) =
+                    self.kept().get_mut(&router).and_then(Vec::pop)
+                && idle_since.elapsed() < MAX_IDLE
+            {
                 return Some((router, connection));
             }
             if let Ok(connection) = Connection::open(self.routers[router]).await {
@@ -192,11 +200,11 @@
         let mut kept = self.kept();
         let connections = kept.entry(router).or_default();
         if connections.len() < MAX_KEPT_CONNECTIONS {
-            connections.push(connection);
+            connections.push((Instant::now(), connection));
         }
     }
 
-    fn kept(&self) -> std::sync::MutexGuard<'_, HashMap<usize, Vec<Connection>>> {
+    fn kept(&self) -> MutexGuard<'_, HashMap<usize, Vec<(Instant, Connection)>>> {
         self.kept.lock().expect("locks are never poisoned")
     }
 }
--- a/teaselworks_standin/src/stream_fleet/content.rs
+++ b/teaselworks_standin/src/stream_fleet/content.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Number of different parts with which prompts begin.
+    fn shared_parts(self) -> u32 {
+        if self == StreamRoute::EventBrief { 3 } else { 80 }
+    }
+
     /// Time that callers wait for a stream, in milliseconds.
     pub(super) fn deadline_ms(self) -> u64 {
         match self {
@@ -75,7 +80,8 @@
 impl Content {
     /// Builds one try, which goes on after `last_event` if that is not zero.
     pub(super) fn call(&self, request: &str, deadline_ms: u64, last_event: u32) -> Call {
-        let prompt = format!("a:512,{:x}:800", self.prompt + 16);
+        let shared = self.prompt % self.route.shared_parts();
+        let prompt = format!("{:x}:512,{:x}:800", 16 + shared, 4_096 + self.prompt);
         let call = Call::new("POST", HOST, &format!("{}2f", self.route.prefix()), request)
             .with_api_key(API_KEY)
             .with_header("X-Model", "m")
