Test requests without end

Cause: callers can send a body without end as well as replicas, and the same decoder reads it.

Change: a test of chunk sizes, chunk extensions, chunks and trailers of a request without end.

--- a/teaselworks/tests/endless.rs
+++ b/teaselworks/tests/endless.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use common::endless::{Outcome, call_and_discard, peak_memory_kb, wait_until_closed};
-use common::{chat, fleet, request};
+use common::{chat, fleet, fleet_with, request};
 use futures_util::future::join_all;
-use teaselworks_standin::caller::{Call, call};
+use serde_json::json;
+use teaselworks_standin::caller::{Call, Connection, call};
+use teaselworks_standin::configuration::TestConfiguration;
 use teaselworks_standin::fleet::Fleet;
 use teaselworks_standin::upstream::{
     ReceivedRequest, Script, Step, chunk, event, raw_response, stream_head,
@@ -147,19 +149,22 @@
         assert!((1..=route.max_runs()).contains(&runs), "{id}: {runs} runs");
         (*route, outcome)
     }));
-    let others = async {
-        for number in 0..10 {
-            let id = format!("other-{name}-{number}");
-            let reply = call(address, &request("GET", "/read/a", &id)).await.unwrap();
-            assert_eq!((reply.status(), reply.text().as_str()), (200, "a verse"), "{id}");
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-    };
-    let (outcomes, ()) = tokio::join!(outcomes, others);
+    let (outcomes, ()) = tokio::join!(outcomes, call_others(fleet, &name));
     assert!(wait_until_closed(fleet).await > 0, "{name}");
     outcomes
 }
 
+/// Sends requests that are answered properly, and checks that they are.
+async fn call_others(fleet: &Fleet, name: &str) {
+    let address = fleet.routers[0].callers_address();
+    for number in 0..10 {
+        let id = format!("other-{name}-{number}").replace(' ', "-");
+        let reply = call(address, &request("GET", "/read/a", &id)).await.unwrap();
+        assert_eq!((reply.status(), reply.text().as_str()), (200, "a verse"), "{id}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Checks that the router used no more than the buffers of one request on each route.
 fn check_memory(fleet: &Fleet, before_kb: u64, name: &str) {
     let growth_kb = peak_memory_kb(&fleet.routers[0]).saturating_sub(before_kb);
@@ -329,3 +334,33 @@
     }
     check_memory(&fleet, before_kb, "rejections");
 }
+
+/// Guards against a caller that sends a body without end and holds the router or its connection.
+#[tokio::test]
+async fn a_request_without_end_is_ended() {
+    let mut configuration = TestConfiguration::default();
+    configuration.value["limits"]["idle_timeout_ms"] = json!(500);
+    let fleet = fleet_with(1, configuration, &json!({})).await;
+    let before_kb = peak_memory_kb(&fleet.routers[0]);
+    let address = fleet.routers[0].callers_address();
+    for (name, start, repeated) in [
+        ("chunk size", "5\r\nverse\r\n", "0"),
+        ("chunk extension", "5;x=", "y"),
+        ("chunks", "", "5\r\nverse\r\n"),
+        ("trailers", "5\r\nverse\r\n0\r\n", "x: y\r\n"),
+    ] {
+        let call_without_end =
+            Route::AtMostOnce.call(name).with_header("Transfer-Encoding", "chunked");
+        let sender = async {
+            let mut connection = Connection::open(address).await.unwrap();
+            connection.send(&call_without_end).await.unwrap();
+            connection.write(start.as_bytes()).await.unwrap();
+            let block = repeated.repeat(4_096);
+            while connection.write(block.as_bytes()).await.is_ok() {}
+        };
+        let closed = tokio::time::timeout(Duration::from_secs(30), sender);
+        let (closed, ()) = tokio::join!(closed, call_others(&fleet, name));
+        assert!(closed.is_ok(), "{name}: the connection is still open");
+    }
+    check_memory(&fleet, before_kb, "requests without end");
+}
