--- a/teaselworks_policy/tests/equal_streams.rs
+++ b/teaselworks_policy/tests/equal_streams.rs
@@ -10,8 +10,7 @@
 /// earlier version began none of them for longer than origins are kept.
 #[test]
 fn equal_requests_are_told_apart_again_once_the_earlier_origin_is_old() {
-    let origin =
-        |version: &str| StreamOrigin { service: "chat".into(), version: version.into() };
+    let origin = |version: &str| StreamOrigin { service: "chat".into(), version: version.into() };
     let mut origins = StreamOrigins::default();
     let keys = |request: u64| StreamKeys { request, content: 7 };
     origins.record(Duration::ZERO, keys(1), &origin("v1"));
