--- a/teaselworks_standin/src/stream_fleet/report.rs
+++ b/teaselworks_standin/src/stream_fleet/report.rs
@@ -8,8 +8,8 @@
 
 use super::check::{StreamRecord, Way};
 
-/// Streams that went wrong whose trails are printed.
-const TRAILS_MAX: usize = 3;
+/// Streams that went wrong in the same ways whose trails are printed.
+const TRAILS_MAX: usize = 2;
 /// Messages of the routers' logs that tell who decided where a request went.
 const DECISIONS: [&str; 4] =
     ["stream_looked_up", "request_placed", "request_refused", "request_answered"];
@@ -144,9 +144,16 @@
         for (at, trouble) in &self.troubles {
             writeln!(f, "{:8.3} s  {trouble}", at.as_secs_f64())?;
         }
-        for (stream, ways) in self.wrong_streams().iter().take(TRAILS_MAX) {
+        let mut printed: BTreeMap<String, usize> = BTreeMap::new();
+        for (stream, ways) in self.wrong_streams() {
             let ways: Vec<String> = ways.iter().map(Way::to_string).collect();
-            writeln!(f, "  ORDER {}", ways.join(", "))?;
+            let ways = ways.join(", ");
+            let count = printed.entry(ways.clone()).or_default();
+            *count += 1;
+            if *count > TRAILS_MAX {
+                continue;
+            }
+            writeln!(f, "  ORDER {ways}")?;
             self.write_trail(f, stream)?;
         }
         writeln!(f, "{}", self.summary())
