--- a/teaselworks/src/metrics.rs
+++ b/teaselworks/src/metrics.rs
@@ -4,7 +4,6 @@
 mod crash;
 mod streams;
 
-use std::fmt;
 use std::io::ErrorKind;
 use std::time::Duration;
 
