Origins found by content count after twice the timeout of the route

A router counted as knowing all streams after a minute.

What a caller has of a stream came within one answer, which the router ends at the timeout of its route, and each resumption records the origin again. An answer now says for how long its router was told of all streams, and twice the timeout of the route is enough, a minute at most.

--- a/teaselworks/src/datagram/lookup.rs
+++ b/teaselworks/src/datagram/lookup.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use teaselworks_policy::stream_origin::{KnownOrigin, StreamKeys};
 use tokio::sync::mpsc;
 
-/// The answer of one router: the origin of the stream if it has one, and whether that is certain.
-pub(super) type Answer = (SocketAddr, Option<(KnownOrigin, bool)>);
+/// The answer of one router: the origin of the stream if it has one, and the time for which it was told of all.
+pub(super) type Answer = (SocketAddr, Option<(KnownOrigin, Duration)>);
 
 /// A query that waits, by its number.
 type Waiting = (u64, mpsc::UnboundedSender<Answer>);
--- a/teaselworks/src/datagram/message.rs
+++ b/teaselworks/src/datagram/message.rs
@@ -43,9 +43,9 @@
         /// Whether equal requests began differently.
         #[serde(rename = "m")]
         is_ambiguous: bool,
-        /// Whether no other stream can have the keys, as far as the router was told of all.
-        #[serde(rename = "c")]
-        is_certain: bool,
+        /// Time for which the router was told of all streams with the keys, in milliseconds.
+        #[serde(rename = "a")]
+        known_for_ms: u32,
     },
     /// Replicas broke off requests; sent to the holders of the parts of their prompts.
     #[serde(rename = "crashes")]
--- a/teaselworks/src/datagram/port.rs
+++ b/teaselworks/src/datagram/port.rs
@@ -62,7 +62,7 @@
         &self,
         keys: StreamKeys,
         known: Option<&KnownOrigin>,
-        is_certain: bool,
+        known_for: Duration,
         address: SocketAddr,
     ) {
         let origin = match known {
@@ -71,21 +71,23 @@
         };
         let is_ambiguous = matches!(known, Some(KnownOrigin::Several));
         let keys = pack_keys(keys);
-        self.send(&Message::StreamAnswer { keys, origin, is_ambiguous, is_certain }, &[address]);
+        let known_for_ms = known_for.as_millis() as u32;
+        let answer = Message::StreamAnswer { keys, origin, is_ambiguous, known_for_ms };
+        self.send(&answer, &[address]);
     }
 
-    /// Queries the routers at `holders` where a stream began. Returns what they know together, and whether
-    /// one of them is certain. Waits
+    /// Queries the routers at `holders` where a stream began. Returns what they know together, and the
+    /// longest time for which one of them was told of all. Waits
     /// for all of them, for at most `timeout`, and shortly once one has told.
     pub async fn look_up(
         &self,
         keys: StreamKeys,
         holders: &[SocketAddr],
         timeout: Duration,
-    ) -> Option<(KnownOrigin, bool)> {
+    ) -> Option<(KnownOrigin, Duration)> {
         let mut lookup = self.lookups.begin(keys);
         let mut unanswered: HashSet<SocketAddr> = holders.iter().copied().collect();
-        let mut known: Option<(KnownOrigin, bool)> = None;
+        let mut known: Option<(KnownOrigin, Duration)> = None;
         let mut deadline = Instant::now() + timeout;
         while !unanswered.is_empty() && Instant::now() < deadline {
             let asked: Vec<SocketAddr> = unanswered.iter().copied().collect();
@@ -98,7 +100,7 @@
                 if let Some(origin) = origin {
                     deadline = deadline.min(Instant::now() + LOOKUP_GRACE);
                     known = Some(match known {
-                        Some(known) => (known.0.merge(origin.0), known.1 || origin.1),
+                        Some(known) => (known.0.merge(origin.0), known.1.max(origin.1)),
                         None => origin,
                     });
                 }
@@ -121,13 +123,14 @@
                 continue;
             };
             let Some(message) = decode_message(&buffer[..length]) else { continue };
-            if let Message::StreamAnswer { keys, origin, is_ambiguous, is_certain } = &message {
+            if let Message::StreamAnswer { keys, origin, is_ambiguous, known_for_ms } = &message {
                 let origin = origin.clone().map(|origin| Arc::new(unpack_origin(origin)));
                 let known = match origin {
                     _ if *is_ambiguous => Some(KnownOrigin::Several),
                     origin => origin.map(KnownOrigin::One),
                 };
-                let known = known.map(|known| (known, *is_certain));
+                let known =
+                    known.map(|known| (known, Duration::from_millis((*known_for_ms).into())));
                 self.lookups.on_answer(unpack_keys(*keys), &(sender, known));
             }
             handle(message, sender);
--- a/teaselworks/src/relay/stream_origins.rs
+++ b/teaselworks/src/relay/stream_origins.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use teaselworks_policy::stream_origin::{KnownOrigin, StreamKeys, StreamOrigin, stream_key};
+use teaselworks_policy::stream_origin::{
+    KnownOrigin, RETENTION, StreamKeys, StreamOrigin, stream_key,
+};
 
 use super::Shared;
 use super::request::PreparedRequest;
@@ -67,15 +69,18 @@
     ) -> (Option<Arc<StreamOrigin>>, LookupOutcome) {
         let keys = StreamKeys { request: stream_key(&resumed.id), content: prepared.fingerprint };
         let host = headers::host(&prepared.headers, &prepared.target).unwrap_or_default();
-        let (named, known, is_certain, sole, holders) = {
+        let (named, known, known_for, sole, holders) = {
             let now = self.now();
             let mut fleet = self.fleet();
             let named = fleet.stream_origins.find_request(now, keys.request);
             let known = fleet.stream_origins.find(now, keys);
             let sole = fleet.sole_origin(now, host, prepared.target.path()).map(Arc::new);
-            let is_certain = known.is_some() && fleet.origin_memory.knows_streams(now);
+            let known_for = match known {
+                Some(_) => fleet.origin_memory.streams_known_for(now),
+                None => Duration::ZERO,
+            };
             let holders = fleet.membership.possible_holders(keys.content);
-            (named, known, is_certain, sole, holders)
+            (named, known, known_for, sole, holders)
         };
         match named {
             Some(KnownOrigin::One(origin)) => return (Some(origin), LookupOutcome::Known),
@@ -85,7 +90,10 @@
         let timeout = if sole.is_some() { SOLE_LOOKUP_TIMEOUT } else { LOOKUP_TIMEOUT };
         let told = self.datagrams.look_up(keys, &holders, timeout).await;
         let outcome = if told.is_some() { LookupOutcome::Told } else { LookupOutcome::Known };
-        let is_certain = is_certain || told.as_ref().is_some_and(|(_, is_certain)| *is_certain);
+        let told_for = told.as_ref().map_or(Duration::ZERO, |(_, known_for)| *known_for);
+        // What the caller has of the stream came within one answer and the pause before this try.
+        let longest_stream = (prepared.route.timeout * 2).min(RETENTION);
+        let is_certain = known_for.max(told_for) >= longest_stream;
         let found = match (known, told.map(|(told, _)| told)) {
             (Some(known), Some(told)) => Some(known.merge(told)),
             (known, told) => known.or(told),
@@ -116,13 +124,14 @@
             Message::StreamAnswer { .. } => {}
             Message::StreamQuery { keys } => {
                 let keys = unpack_keys(keys);
-                let (known, is_certain) = {
+                let (known, known_for) = {
                     let mut fleet = self.fleet();
                     let is_named = fleet.stream_origins.find_request(now, keys.request).is_some();
-                    let is_certain = is_named || fleet.origin_memory.knows_streams(now);
-                    (fleet.stream_origins.find(now, keys), is_certain)
+                    let known_for = fleet.origin_memory.streams_known_for(now);
+                    let known_for = if is_named { RETENTION } else { known_for };
+                    (fleet.stream_origins.find(now, keys), known_for)
                 };
-                self.datagrams.answer(keys, known.as_ref(), is_certain, sender);
+                self.datagrams.answer(keys, known.as_ref(), known_for, sender);
             }
             Message::Load(message) => self.on_load_message(message, sender),
             message @ (Message::RequestEnds { .. } | Message::RequestAnswered { .. }) => {
--- a/teaselworks_model/src/streams.rs
+++ b/teaselworks_model/src/streams.rs
@@ -32,6 +32,8 @@
 const MAX_STALENESS: Duration = Duration::from_secs(3);
 /// Longest time from the beginning of a stream to its break.
 const MAX_LENGTH_MS: u64 = 6_000;
+/// Longest time of an answer.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time between two checks of the record in the store.
 const RECORD_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -338,7 +340,8 @@
     /// Returns what a router knows of a stream, and whether that is certain.
     fn find(&mut self, router: usize, keys: StreamKeys) -> Option<(KnownOrigin, bool)> {
         let fleet = &mut self.routers[router];
-        let is_certain = fleet.origin_memory.knows_streams(self.now);
+        let known_for = fleet.origin_memory.streams_known_for(self.now);
+        let is_certain = known_for >= 2 * ROUTE_TIMEOUT;
         Some((fleet.stream_origins.find(self.now, keys)?, is_certain))
     }
 
--- a/teaselworks_policy/src/origin_memory.rs
+++ b/teaselworks_policy/src/origin_memory.rs
@@ -157,11 +157,13 @@
         self.recorded_revision
     }
 
-    /// Returns whether this router has been told of all streams that are still resumed, as far as
-    /// messages arrive.
-    pub fn knows_streams(&self, now: Duration) -> bool {
-        let is_long = |since: Duration| now.saturating_sub(since) >= RETENTION;
-        self.first_start == FirstStart::Confirmed || self.started_at.is_some_and(is_long)
+    /// Returns the time for which this router has been told of all streams that began, as far as messages
+    /// arrive.
+    pub fn streams_known_for(&self, now: Duration) -> Duration {
+        if self.first_start == FirstStart::Confirmed {
+            return RETENTION;
+        }
+        self.started_at.map_or(Duration::ZERO, |since| now.saturating_sub(since).min(RETENTION))
     }
 
     /// Returns the time for which this router has known routes and lists without a gap; `None` before it
