Log each decision of a stopping router on a request

Change: stop_decided (TW0704) names the time since the stop, the time until the deadline, the typical and the longest duration that the router goes by, and the decision. No decision changes.

--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -77,7 +77,7 @@
         }
     };
     progress.set_request(&prepared);
-    if let Err(refusal) = shared.admit(&prepared.route.name, &prepared.deadline) {
+    if let Err(refusal) = shared.admit(&prepared) {
         return refuse(progress, Some(&id), &refusal, 0, version);
     }
     // The router that the caller sent the request to has counted it already.
--- a/teaselworks/src/relay/shared.rs
+++ b/teaselworks/src/relay/shared.rs
@@ -6,7 +6,6 @@
 
 use teaselworks_policy::clock::Clock;
 use teaselworks_policy::configuration::Configuration;
-use teaselworks_policy::deadline::Deadline;
 use teaselworks_policy::fleet::Fleet;
 use teaselworks_policy::stop::StopPlan;
 use teaselworks_policy::upstream::{EjectionChange, Incarnation, LinkChange, SharedObservations};
@@ -16,6 +15,7 @@
 use super::ConnectionPool;
 use super::load_exchange::LoadExchange;
 use super::part_change::PartChange;
+use super::request::PreparedRequest;
 use super::upstream_connection::Connection;
 use crate::datagram::DatagramPort;
 use crate::event;
@@ -161,13 +161,32 @@
     }
 
     /// Refuses a request that is expected to outlast a planned stop that has begun.
-    pub(super) fn admit(&self, route: &Arc<str>, deadline: &Deadline) -> Result<(), Refusal> {
+    pub(super) fn admit(&self, prepared: &PreparedRequest) -> Result<(), Refusal> {
         let Some((plan, stop_began_at)) = self.stop.get() else { return Ok(()) };
         let now = self.now();
-        let elapsed = now.saturating_sub(*stop_began_at);
+        let (route, deadline) = (&prepared.route.name, &prepared.deadline);
+        let since_stop = now.saturating_sub(*stop_began_at);
         let remaining = deadline.remaining(now);
         let max_retry_after = deadline.max_retry_after(now);
-        self.fleet().admit_while_stopping(plan, elapsed, route, remaining, max_retry_after)
+        let (estimate, decision) = {
+            let mut fleet = self.fleet();
+            let estimate = fleet.duration_estimate(route);
+            let decision =
+                fleet.admit_while_stopping(plan, since_stop, route, remaining, max_retry_after);
+            (estimate, decision)
+        };
+        let typical = estimate.map(|estimate| estimate.typical);
+        let upper_bound = estimate.and_then(|estimate| estimate.upper_bound);
+        event::STOP_DECIDED.log(&[
+            event::text("request", &prepared.metadata.id),
+            event::text("route", route),
+            event::number("since_stop_ms", since_stop.as_millis() as u64),
+            event::number("remaining_ms", remaining.as_millis() as u64),
+            event::text("typical_ms", &milliseconds(typical)),
+            event::text("upper_bound_ms", &milliseconds(upper_bound)),
+            event::text("decision", &if decision.is_ok() { "accepted" } else { "refused" }),
+        ]);
+        decision
     }
 
     /// Applies the observations of upstreams that other routers share, and counts and logs the
@@ -273,6 +292,11 @@
     }
 }
 
+/// Returns a time in milliseconds for the log, -1 if it is not known.
+fn milliseconds(time: Option<Duration>) -> i64 {
+    time.map_or(-1, |time| time.as_millis() as i64)
+}
+
 fn log_link_change(service: &Arc<str>, change: LinkChange) {
     match change {
         LinkChange::Down { failed_replicas, silent_for } => {
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -12,6 +12,7 @@
 mod retries;
 mod settings;
 mod shares;
+mod stop;
 mod streams;
 
 use std::collections::HashMap;
@@ -32,7 +33,6 @@
 use crate::placement::{Placement, PlacementRequest, PlacementSettings, Refused, try_place};
 use crate::retry::RetryBudget;
 use crate::shares::{Admission, Shares};
-use crate::stop::{Arrival, StopPlan};
 use crate::stream_origin::StreamOrigins;
 use crate::upstream::{
     Change, ColdBound, ConnectTimes, EjectionChange, EvacuatedZones, EvacuationChange, Incarnation,
@@ -226,31 +226,6 @@
         self.pools.get(service)
     }
 
-    /// Admits a request at a stopping router if it is expected to end before the process exits, or
-    /// refuses it.
-    ///
-    /// `since_stop` is the time since the stop began, `remaining` the time left until the request's
-    /// deadline, and `max_retry_after` the longest retry-after time that leaves the caller enough
-    /// time for the retry to be answered.
-    pub fn admit_while_stopping(
-        &mut self,
-        plan: &StopPlan,
-        since_stop: Duration,
-        route: &Arc<str>,
-        remaining: Duration,
-        max_retry_after: Duration,
-    ) -> Result<(), Refusal> {
-        let duration_estimate = self.durations.duration_estimate(route);
-        let has_serving_peers = self.membership.are_most_peers_listed();
-        let arrival = Arrival { remaining, duration_estimate, max_retry_after, has_serving_peers };
-        plan.admit(since_stop, &arrival, &mut self.random)
-    }
-
-    /// Records the time from the arrival of a request to the end of its answer.
-    pub fn on_answered(&mut self, route: &Arc<str>, elapsed: Duration) {
-        self.durations.observe(route, elapsed);
-    }
-
     /// Chooses a replica for a request and counts the request as in progress there, until
     /// [`Fleet::on_attempt_end`] is called.
     pub fn place(
