A stopping router begins no answer late that it may cut

Cause: requests were admitted by twice the longest duration of their route, which lost a thousandth with each shorter request. stop_decided shows a bound of 3.2 s for chats of 5.2 s. Whatever the estimate, it is no promise: a router that has just started knows none, and a longer request may come at any time.

Change: after the first three seconds only a deadline before the exit lets an answer begin. What is expected to end in time is still answered, and passed on once it is whole; what is not whole shortly before the exit ends with a status. The decision is made again for each attempt; requests that other routers forward are held to the deadline from the beginning; answers that have not begun at the exit get a status in place of a closed connection.

Why it works: nothing that the estimate decides can be cut any more; it only decides what is tried.

Tests: stop_late (3 tests, all failed before), stop, durations, stops (model).

--- a/teaselworks/src/daemon/stop.rs
+++ b/teaselworks/src/daemon/stop.rs
@@ -27,7 +27,8 @@
 /// Runs a planned stop to its end.
 ///
 /// `in_progress` counts the connections that must not be cut. Idle ones are closed in the draining
-/// phase; the stop ends when none is left, or shortly before `grace` has passed.
+/// phase; the stop ends when none is left, or shortly before `grace` has passed. Requests whose answer
+/// has not begun by then get a final answer of the router just before.
 pub(super) async fn run(shared: &Shared, grace: Duration, in_progress: impl Fn() -> usize) {
     let plan = StopPlan::new(grace);
     let started = shared.now();
@@ -42,6 +43,7 @@
                 shared.shutdown.advance(ShutdownPhase::Draining);
             }
             Phase::Finishing => {}
+            Phase::Closing => shared.shutdown.advance(ShutdownPhase::Closing),
             Phase::Ended => break,
         }
         tokio::time::sleep(PROGRESS_CHECK_INTERVAL).await;
--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -56,7 +56,7 @@
     REQUEST_REFUSED = 701 Info "request_refused" "A request was refused or abandoned; the fields name the reason and the verdict, the rank (-1: not known), the workspace (empty: none), and whether its caller was probably refused before (is_late).";
     ANSWER_BROKEN = 702 Info "answer_broken" "An answer broke off after it had begun; the caller's connection is closed early.";
     CALLER_LEFT = 703 Info "caller_left" "The caller closed its connection before its answer was complete; the upstream's connection was closed too.";
-    STOP_DECIDED = 704 Info "stop_decided" "A stopping router decided whether to have a request answered: the fields give the time since the stop began and until the deadline of the request, how long typical requests and the longest ones of its route take (-1: not known), and the decision.";
+    STOP_DECIDED = 704 Info "stop_decided" "A stopping router decided whether to have a request answered: the fields give the time since the stop began and until the deadline of the request, how long typical requests and the longest ones of its route and size take (-1: not known), and whether it is accepted like any other (unchanged), gets its answer only once that is whole (whole_answer_only) or is refused.";
 
     // 800-899: routing.
     REQUEST_PLACED = 800 Info "request_placed" "A request is sent to an upstream; the fields name the fingerprint of the request, the reason for the choice, the rank and the workspace (empty: none).";
--- a/teaselworks/src/relay/dispatch.rs
+++ b/teaselworks/src/relay/dispatch.rs
@@ -51,6 +51,9 @@
         if self.prepared.deadline.remaining(now).is_zero() {
             return Err(self.unsent(RefusalReason::Deadline));
         }
+        if resumption.is_none() {
+            self.admit_attempt()?;
+        }
         let max_retry_after = self.prepared.deadline.max_retry_after(now);
         let (id, fingerprint) = (&self.prepared.metadata.id, self.prepared.fingerprint);
         self.shared.admit_fingerprint(id, fingerprint, max_retry_after)?;
@@ -160,7 +163,7 @@
     }
 
     /// Returns the refusal of a request that is not sent to anything, or not again.
-    fn unsent(&self, reason: RefusalReason) -> Refusal {
+    pub(super) fn unsent(&self, reason: RefusalReason) -> Refusal {
         let now = self.shared.now();
         let max_retry_after = self.prepared.deadline.max_retry_after(now);
         let service = &self.prepared.service;
--- a/teaselworks/src/relay/event_stream.rs
+++ b/teaselworks/src/relay/event_stream.rs
@@ -11,7 +11,7 @@
 use super::shared::Shared;
 use crate::event;
 use crate::metrics::{ResumptionOutcome, StreamEnding};
-use crate::platform::headers::{self, ResponseMetadata};
+use crate::platform::headers::ResponseMetadata;
 
 /// Number of characters to which identifiers of events are cut in the log.
 const MAX_LOGGED_ID_CHARS: usize = 64;
@@ -68,8 +68,7 @@
         in_flight: &InFlightRequest,
         weight_version: Option<Box<str>>,
     ) -> Self {
-        let after = headers::last_event_id(&prepared.headers);
-        let after = after.filter(|_| prepared.route.is_resumable);
+        let after = prepared.resumed_after();
         Self {
             shared,
             request: prepared.metadata.id.clone(),
--- a/teaselworks/src/relay/request.rs
+++ b/teaselworks/src/relay/request.rs
@@ -14,6 +14,7 @@
 use teaselworks_policy::configuration::{Configuration, RequestLimits, Route, Workspace};
 use teaselworks_policy::crash::{RequestContent, body_hash};
 use teaselworks_policy::deadline::Deadline;
+use teaselworks_policy::durations::SizeClass;
 use teaselworks_policy::placement::Prompt;
 use teaselworks_policy::shares::Class;
 use teaselworks_policy::stream_origin::{StreamKeys, stream_key};
@@ -79,6 +80,17 @@
     pub(super) fn prompt(&self) -> Option<&Prompt> {
         self.metadata.prompt.as_ref().filter(|_| self.route.has_prompts)
     }
+
+    /// Returns the identifier of the event after which the caller resumes a stream, if it does.
+    pub(super) fn resumed_after(&self) -> Option<&str> {
+        headers::last_event_id(&self.headers).filter(|_| self.route.is_resumable)
+    }
+
+    /// Returns the size of the request by the tokens that its headers state, whether or not its route
+    /// has prompts.
+    pub(super) fn size(&self) -> SizeClass {
+        SizeClass::of(self.metadata.prompt.as_ref())
+    }
 }
 
 /// Checks the head of a request and finds its route, service and workspace.
--- a/teaselworks/src/relay/request_progress.rs
+++ b/teaselworks/src/relay/request_progress.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use teaselworks_policy::configuration::Kind;
+use teaselworks_policy::durations::SizeClass;
 use teaselworks_policy::shares::Class;
 use teaselworks_policy::verdict::Refusal;
 
@@ -19,6 +20,7 @@
     kind: Kind,
     service: Arc<str>,
     class: Class,
+    size: SizeClass,
     is_late: bool,
 }
 
@@ -64,6 +66,7 @@
             kind: request.route.kind,
             service: request.service.clone(),
             class: request.class.clone(),
+            size: request.size(),
             is_late: request.is_late,
         });
     }
@@ -82,7 +85,8 @@
         let first_byte = self.time_to_first_byte.unwrap_or(elapsed);
         if let Some(known) = &self.known {
             self.shared.metrics.add_answer(known.kind, elapsed);
-            self.shared.fleet().on_answered(&known.route, elapsed);
+            let now = self.shared.now();
+            self.shared.fleet().on_answered(now, &known.route, known.size, elapsed);
         }
         event::REQUEST_ANSWERED.log(&[
             event::text("request", &self.id),
--- a/teaselworks/src/relay/request_state.rs
+++ b/teaselworks/src/relay/request_state.rs
@@ -12,6 +12,7 @@
     AttemptHistory, BudgetReading, Decision, Failure, RetryReason, SlackShare, decide_retry,
 };
 use teaselworks_policy::shares::Admission;
+use teaselworks_policy::stop::Acceptance;
 use teaselworks_policy::stream_origin::StreamOrigin;
 use teaselworks_policy::upstream::RequestOutcome;
 use teaselworks_policy::verdict::{Refusal, RefusalReason, Verdict};
@@ -38,6 +39,8 @@
     max_runs: u32,
     /// Whether another router took the request, and retries it if that is allowed.
     is_handed_over: bool,
+    /// How the answer may be passed on, as a planned stop requires.
+    pub(super) acceptance: Acceptance,
     pub(super) origin: Origin,
     /// Where the stream began that this request answers or resumes; `None` before its first event.
     stream_origin: Option<Arc<StreamOrigin>>,
@@ -67,6 +70,7 @@
             runs: 0,
             max_runs,
             is_handed_over: false,
+            acceptance: Acceptance::Unchanged,
             origin,
             stream_origin,
             is_origin_recorded: false,
@@ -125,6 +129,21 @@
         self.max_runs.saturating_sub(self.runs)
     }
 
+    /// Decides again whether the request may outlast a planned stop, before an attempt to have it
+    /// answered. The body may have taken long to arrive, or an earlier attempt to fail.
+    pub(super) fn admit_attempt(&mut self) -> Result<(), Refusal> {
+        self.acceptance = self.shared.admit(&self.prepared, self.origin)?;
+        Ok(())
+    }
+
+    /// Returns the refusal of a request whose answer has not begun when the process is about to exit.
+    pub(super) fn closing_refusal(&self) -> Refusal {
+        if self.tried.is_empty() {
+            return self.unsent(RefusalReason::Stopping);
+        }
+        Refusal::may_have_run(RefusalReason::Stopping)
+    }
+
     /// Returns the number of attempts so far.
     pub(super) fn attempts(&self) -> u32 {
         u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
--- a/teaselworks/src/relay/serve.rs
+++ b/teaselworks/src/relay/serve.rs
@@ -11,6 +11,7 @@
 use teaselworks_policy::configuration::Kind;
 use teaselworks_policy::fleet::CallerRequest;
 use teaselworks_policy::retry::Failure;
+use teaselworks_policy::stop::Acceptance;
 use teaselworks_policy::stream_origin::StreamOrigin;
 use teaselworks_policy::upstream::RequestOutcome;
 use teaselworks_policy::verdict::{Refusal, RefusalReason};
@@ -26,6 +27,7 @@
 use super::request_progress::RequestProgress;
 use super::request_state::{RequestState, request_outcome};
 use super::stream::{self, StreamingAnswer};
+use crate::kernel::ShutdownPhase;
 use crate::platform::headers;
 
 /// Retry-after time of requests that are refused because no configuration is known yet. A router
@@ -37,6 +39,8 @@
 /// Size up to which an answer is buffered until it is complete. If a buffered answer breaks off,
 /// the request can be retried, or the caller gets an error status instead of a truncated answer.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 256 << 10;
+/// Largest answer of which a stopping router passes on only the whole.
+const MAX_WHOLE_ANSWER_BYTES: usize = 4 << 20;
 
 /// Serves one request and returns the response.
 ///
@@ -77,7 +81,7 @@
         }
     };
     progress.set_request(&prepared);
-    if let Err(refusal) = shared.admit(&prepared) {
+    if let Err(refusal) = shared.admit(&prepared, origin) {
         return refuse(progress, Some(&id), &refusal, 0, version);
     }
     // The router that the caller sent the request to has counted it already.
@@ -187,25 +191,58 @@
     Failed(Failure, Option<CompleteAnswer>),
 }
 
+/// How the attempts of a request ended.
+enum Outcome {
+    /// The answer is complete and can be forwarded.
+    Complete(CompleteAnswer),
+    /// The answer is forwarded while it arrives.
+    Stream(Box<StreamingAnswer>),
+    /// No attempt succeeded; the last complete error answer of an upstream is forwarded if there is
+    /// one.
+    GivenUp(Refusal, Option<CompleteAnswer>),
+}
+
 impl RequestState {
-    /// Sends the request to one upstream after the other until one answers or no retry is allowed.
+    /// Returns the response to the caller: the answer of an upstream, or the router's own.
+    ///
+    /// An answer that has not begun when a stopping router is about to exit is given up, since the
+    /// caller would get nothing otherwise.
     async fn run(mut self, mut progress: RequestProgress) -> Response<OutgoingBody> {
+        let shared = self.shared.clone();
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.request_answer(&mut progress) => outcome,
+            () = shared.shutdown.reached(ShutdownPhase::Closing) => {
+                Outcome::GivenUp(self.closing_refusal(), None)
+            }
+        };
+        match outcome {
+            Outcome::Complete(answer) => self.forward(progress, answer),
+            Outcome::Stream(answer) => stream::respond(*answer, self, progress),
+            Outcome::GivenUp(refusal, error_answer) => {
+                self.give_up(progress, error_answer, refusal)
+            }
+        }
+    }
+
+    /// Sends the request to one upstream after the other until one answers or no retry is allowed.
+    async fn request_answer(&mut self, progress: &mut RequestProgress) -> Outcome {
         // Last complete error answer of an upstream. The caller gets it if no later attempt
         // succeeds.
         let mut last_error_answer: Option<CompleteAnswer> = None;
         loop {
             let dispatched = match self.dispatch(None).await {
                 Ok(dispatched) => dispatched,
-                Err(refusal) => return self.give_up(progress, last_error_answer, refusal),
+                Err(refusal) => return Outcome::GivenUp(refusal, last_error_answer),
             };
-            let (failure, error_answer) = match self.receive(dispatched, &mut progress).await {
-                AttemptResult::Complete(answer) => return self.forward(progress, answer),
-                AttemptResult::Stream(answer) => return stream::respond(*answer, self, progress),
+            let (failure, error_answer) = match self.receive(dispatched, progress).await {
+                AttemptResult::Complete(answer) => return Outcome::Complete(answer),
+                AttemptResult::Stream(answer) => return Outcome::Stream(answer),
                 AttemptResult::Failed(failure, error_answer) => (failure, error_answer),
             };
             last_error_answer = error_answer.or(last_error_answer);
             if let Err(refusal) = self.authorize_retry(failure, false) {
-                return self.give_up(progress, last_error_answer, refusal);
+                return Outcome::GivenUp(refusal, last_error_answer);
             }
         }
     }
@@ -242,7 +279,7 @@
             in_flight.on_load_report(load);
         }
         let is_stream = self.prepared.route.kind == Kind::Stream && answer.status.is_success();
-        if is_stream {
+        if is_stream && self.acceptance == Acceptance::Unchanged {
             return AttemptResult::Stream(Box::new(StreamingAnswer::new(
                 answer,
                 in_flight,
@@ -253,7 +290,8 @@
     }
 
     /// Reads the answer to its end within the time left for it. An answer larger than
-    /// [`MAX_BUFFERED_ANSWER_BYTES`] is forwarded while the rest of it arrives.
+    /// [`MAX_BUFFERED_ANSWER_BYTES`] is forwarded while the rest of it arrives, unless the caller may
+    /// get only the whole of it.
     ///
     /// A complete answer counts as a failed attempt if its status is a server error, or one from
     /// which callers conclude that the request was not run.
@@ -279,7 +317,11 @@
             };
             in_flight.on_data();
             bytes.extend_from_slice(&data);
-            if bytes.len() > MAX_BUFFERED_ANSWER_BYTES {
+            let is_whole_only = self.acceptance == Acceptance::WholeAnswerOnly;
+            if is_whole_only && bytes.len() > MAX_WHOLE_ANSWER_BYTES {
+                return AttemptResult::Failed(Failure::Broken, None);
+            }
+            if !is_whole_only && bytes.len() > MAX_BUFFERED_ANSWER_BYTES {
                 return AttemptResult::Stream(Box::new(StreamingAnswer::new(
                     answer,
                     in_flight,
@@ -288,6 +330,15 @@
             }
         }
         let Answer { status, headers, metadata, connection, .. } = answer;
+        if self.prepared.route.kind == Kind::Stream && status.is_success() {
+            if !stream::is_whole(&headers, &bytes, self.prepared.resumed_after()) {
+                in_flight.set_outcome(RequestOutcome::NoAnswer);
+                return AttemptResult::Failed(Failure::Broken, None);
+            }
+            if let Some(version) = in_flight.version() {
+                self.on_first_event(version);
+            }
+        }
         if !metadata.closes_connection {
             connection.release(self.shared.now());
         }
--- a/teaselworks/src/relay/shared.rs
+++ b/teaselworks/src/relay/shared.rs
@@ -6,14 +6,15 @@
 
 use teaselworks_policy::clock::Clock;
 use teaselworks_policy::configuration::Configuration;
-use teaselworks_policy::fleet::Fleet;
-use teaselworks_policy::stop::StopPlan;
+use teaselworks_policy::fleet::{Fleet, StoppingRequest};
+use teaselworks_policy::stop::{Acceptance, StopPlan};
 use teaselworks_policy::upstream::{EjectionChange, Incarnation, LinkChange, SharedObservations};
 use teaselworks_policy::verdict::Refusal;
 use tokio::sync::{Notify, mpsc};
 
 use super::ConnectionPool;
 use super::load_exchange::LoadExchange;
+use super::origin::Origin;
 use super::part_change::PartChange;
 use super::request::PreparedRequest;
 use super::upstream_connection::Connection;
@@ -160,31 +161,40 @@
         self.shutdown.advance(ShutdownPhase::Announced);
     }
 
-    /// Refuses a request that is expected to outlast a planned stop that has begun.
-    pub(super) fn admit(&self, prepared: &PreparedRequest) -> Result<(), Refusal> {
-        let Some((plan, stop_began_at)) = self.stop.get() else { return Ok(()) };
+    /// Decides whether a request is served that may outlast a planned stop, if one has begun.
+    pub(super) fn admit(
+        &self,
+        prepared: &PreparedRequest,
+        origin: Origin,
+    ) -> Result<Acceptance, Refusal> {
+        let Some((plan, stop_began_at)) = self.stop.get() else { return Ok(Acceptance::Unchanged) };
         let now = self.now();
-        let (route, deadline) = (&prepared.route.name, &prepared.deadline);
+        let request = StoppingRequest {
+            route: &prepared.route,
+            size: prepared.size(),
+            remaining: prepared.deadline.remaining(now),
+            max_retry_after: prepared.deadline.max_retry_after(now),
+            is_forwarded: origin != Origin::Caller,
+        };
         let since_stop = now.saturating_sub(*stop_began_at);
-        let remaining = deadline.remaining(now);
-        let max_retry_after = deadline.max_retry_after(now);
         let (estimate, decision) = {
             let mut fleet = self.fleet();
-            let estimate = fleet.duration_estimate(route);
-            let decision =
-                fleet.admit_while_stopping(plan, since_stop, route, remaining, max_retry_after);
-            (estimate, decision)
+            let estimate = fleet.duration_estimate(now, &prepared.route.name, request.size);
+            (estimate, fleet.admit_while_stopping(now, plan, since_stop, &request))
         };
         let typical = estimate.map(|estimate| estimate.typical);
         let upper_bound = estimate.and_then(|estimate| estimate.upper_bound);
         event::STOP_DECIDED.log(&[
             event::text("request", &prepared.metadata.id),
-            event::text("route", route),
+            event::text("route", &prepared.route.name),
             event::number("since_stop_ms", since_stop.as_millis() as u64),
-            event::number("remaining_ms", remaining.as_millis() as u64),
+            event::number("remaining_ms", request.remaining.as_millis() as u64),
             event::text("typical_ms", &milliseconds(typical)),
             event::text("upper_bound_ms", &milliseconds(upper_bound)),
-            event::text("decision", &if decision.is_ok() { "accepted" } else { "refused" }),
+            event::text(
+                "decision",
+                &decision.as_ref().map_or("refused", |accepted| accepted.as_str()),
+            ),
         ]);
         decision
     }
--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -17,7 +17,7 @@
 use super::attempt::Answer;
 use super::body::{BodyError, OutgoingBody};
 use super::dispatch::{Dispatched, Resumption};
-use super::event_splitter::SplitError;
+use super::event_splitter::{EventSplitter, SplitError};
 use super::event_stream::EventStream;
 use super::in_flight::InFlightRequest;
 use super::origin::Origin;
@@ -65,6 +65,16 @@
     media_type.is_some_and(|media_type| media_type.starts_with(EVENT_STREAM.as_bytes()))
 }
 
+/// Returns whether a complete body is a whole stream: if it consists of events, it does not end inside
+/// one and goes on after the event `after`, if there is one.
+pub(super) fn is_whole(headers: &HeaderMap, bytes: &[u8], after: Option<&str>) -> bool {
+    if !is_event_stream(headers) {
+        return true;
+    }
+    let mut splitter = EventSplitter::resuming(after);
+    splitter.push(bytes).is_ok() && !splitter.has_partial_event()
+}
+
 /// Returns why an answer can't resume a stream with this status, which weights of `weight_version` wrote
 /// as far as that is known; `None` if it can.
 fn mismatch(
--- /dev/null
+++ b/teaselworks/tests/stop_late.rs
@@ -0,0 +1,157 @@
+//! Requests that reach a stopping router when it may exit before they end.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::{chat, fleet, request};
+use futures_util::future::join_all;
+use nix::sys::signal::Signal;
+use teaselworks_standin::caller::{Call, Connection, Reply, call};
+use teaselworks_standin::configuration::{API_KEY, HOST};
+use teaselworks_standin::fleet::Fleet;
+use teaselworks_standin::upstream::{ReceivedRequest, Script, Step};
+
+/// Time between the events of a stream that takes longer than a stop leaves late requests.
+const LONG_GAP: Duration = Duration::from_millis(100);
+/// Number of its events.
+const LONG_EVENTS: u32 = 52;
+/// Short streams that end after the last long one.
+const SHORT_STREAMS: usize = 1_200;
+/// Callers that send them.
+const CALLERS: usize = 30;
+
+/// Streams many events if the identifier of the request says so, and else a few at once.
+fn stream_by_id(req: &ReceivedRequest) -> Script {
+    if req.id().starts_with("long") {
+        return Script::stream(req, 1..LONG_EVENTS + 1, LONG_GAP, true);
+    }
+    Script::stream(req, 1..6, Duration::from_millis(1), true)
+}
+
+/// Returns a request for a stream of at most `output_tokens`.
+fn stream_request(target: &str, id: &str, output_tokens: u32) -> Call {
+    Call::new("POST", HOST, target, id)
+        .with_api_key(API_KEY)
+        .with_header("X-Deadline-Ms", "12000")
+        .with_header("X-Token-Usage", &format!("100,{output_tokens}"))
+        .with_body("Which verse is older?")
+}
+
+async fn send(address: SocketAddr, sent: Call) -> Reply {
+    call(address, &sent).await.unwrap()
+}
+
+/// Returns how many times engines ran a request.
+fn count_runs(fleet: &Fleet, id: &str) -> usize {
+    fleet.engines.iter().map(|engine| engine.run_count(id)).sum()
+}
+
+/// Sends short streams on both routes for streams.
+async fn send_short_streams(address: SocketAddr) {
+    let callers = (0..CALLERS).map(async |caller| {
+        for number in 0..SHORT_STREAMS / CALLERS {
+            let target = if number % 2 == 0 { "/chat/a" } else { "/gloss/a" };
+            let sent = stream_request(target, &format!("short-{caller}-{number}"), 50);
+            assert_eq!(send(address, sent).await.status(), 200);
+        }
+    });
+    join_all(callers).await;
+}
+
+/// Guards against streams that a stopping router begins and cuts: long ones that it has forgotten over
+/// many short ones, and ones that take longer than any of their size before.
+#[tokio::test]
+async fn a_stopping_router_cuts_no_late_stream() {
+    let mut fleet = fleet(1).await;
+    for engine in &fleet.engines {
+        engine.set_behaviour(stream_by_id);
+    }
+    let address = fleet.routers[0].callers_address();
+    let early = ["/chat/a", "/gloss/a"].map(async |target| {
+        let id = format!("long-early{}", target.len());
+        send(address, stream_request(target, &id, 400)).await
+    });
+    for reply in join_all(early).await {
+        assert_eq!((reply.status(), reply.body.is_whole), (200, true));
+    }
+    send_short_streams(address).await;
+    // Keeps the router from exiting early.
+    let held = tokio::spawn(send(address, stream_request("/chat/a", "long-held", 400)));
+    fleet.routers[0].wait_for_events("request_placed", SHORT_STREAMS + 3).await.unwrap();
+    fleet.routers[0].signal(Signal::SIGTERM).unwrap();
+    fleet.routers[0].wait_for_events("finishing", 1).await.unwrap();
+
+    let short = send(address, stream_request("/chat/a", "short-late", 50)).await;
+    assert_eq!((short.status(), short.events().len(), short.body.is_whole), (200, 5, true));
+    let stated = ["/chat/a", "/gloss/a"].map(async |target| {
+        let id = format!("long-stated{}", target.len());
+        (send(address, stream_request(target, &id, 400)).await, id)
+    });
+    let unstated = ["/chat/a", "/gloss/a"].map(async |target| {
+        let id = format!("long-unstated{}", target.len());
+        (send(address, stream_request(target, &id, 50)).await, id)
+    });
+    let (stated, unstated) = tokio::join!(join_all(stated), join_all(unstated));
+    assert_eq!((stated[0].0.status(), count_runs(&fleet, &stated[0].1)), (503, 0));
+    for (reply, id) in stated.iter().chain(&unstated) {
+        assert!(reply.body.is_whole, "{id} was cut: {reply:?}");
+        assert!([502, 503].contains(&reply.status()), "{id}: {reply:?}");
+        let is_not_run = reply.status() == 503;
+        assert!(!is_not_run || count_runs(&fleet, id) == 0, "{id} has run: {reply:?}");
+    }
+    assert!(held.await.unwrap().body.is_whole);
+    assert!(fleet.routers[0].wait_for_exit().await.unwrap().success());
+    let stopped = fleet.routers[0].wait_for_events("router_stopped", 1).await.unwrap();
+    assert_eq!(stopped[0]["cut"], 0);
+}
+
+/// Guards against a request that is sent to a replica, and cut, though most of its time at a stopping
+/// router has passed before its body arrived.
+#[tokio::test]
+async fn a_request_whose_body_arrives_late_in_a_stop_is_refused() {
+    let mut fleet = fleet(1).await;
+    for engine in &fleet.engines {
+        engine.set_behaviour(stream_by_id);
+    }
+    let mut caller = Connection::open(fleet.routers[0].callers_address()).await.unwrap();
+    let bytes = stream_request("/chat/a", "long-body", 50).bytes();
+    let (beginning, rest) = bytes.split_at(bytes.len() - 1);
+    caller.write(beginning).await.unwrap();
+    fleet.routers[0].signal(Signal::SIGTERM).unwrap();
+    fleet.routers[0].wait_for_events("finishing", 1).await.unwrap();
+    caller.write(rest).await.unwrap();
+    let reply = caller.read_reply().await.unwrap().unwrap_or_default();
+    assert_eq!((reply.status(), count_runs(&fleet, "long-body")), (503, 0));
+    assert!(fleet.routers[0].wait_for_exit().await.unwrap().success());
+}
+
+/// Guards against a closed connection in place of an answer for requests that are still at their
+/// replicas when the router exits.
+#[tokio::test]
+async fn requests_without_an_answer_get_one_before_the_exit() {
+    let mut fleet = fleet(1).await;
+    for upstream in fleet.archives.iter().chain(&fleet.engines) {
+        upstream.set_behaviour(|_| Script::new(vec![Step::Silence]));
+    }
+    let address = fleet.routers[0].callers_address();
+    let calls = [
+        request("GET", "/read/a", "read"),
+        request("POST", "/write/a", "write"),
+        chat("/chat/a", "chat", 1),
+        chat("/gloss/a", "gloss", 1),
+    ];
+    let calls = calls.map(|sent| {
+        let mut sent = sent;
+        sent.headers.retain(|(name, _)| name != "X-Deadline-Ms");
+        sent
+    });
+    fleet.routers[0].signal(Signal::SIGTERM).unwrap();
+    fleet.routers[0].wait_for_events("stop_requested", 1).await.unwrap();
+    let replies = join_all(calls.map(|sent| async move { send(address, sent).await })).await;
+    for reply in replies {
+        assert_eq!((reply.status(), reply.body.is_whole), (502, true), "{reply:?}");
+    }
+    assert!(fleet.routers[0].wait_for_exit().await.unwrap().success());
+}
--- a/teaselworks_model/src/lib.rs
+++ b/teaselworks_model/src/lib.rs
@@ -14,6 +14,7 @@
 mod retries;
 mod router;
 mod run;
+mod stops;
 mod streams;
 
 pub use self::crashes::{CrashLoad, CrashOutcome, run_crashes};
@@ -27,4 +28,5 @@
 pub use self::result::{EngineTotals, Outcome, RequestCounts};
 pub use self::retries::{RetryBug, RetryFault, RetryLoad, RetryOutcome, run_retries};
 pub use self::run::run;
+pub use self::stops::{StopBug, StopLoad, StopOutcome, run_stops};
 pub use self::streams::{StreamBug, StreamLoad, StreamOutcome, run_streams};
--- a/teaselworks_model/src/run.rs
+++ b/teaselworks_model/src/run.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use teaselworks_policy::configuration::Route;
+use teaselworks_policy::durations::SizeClass;
 use teaselworks_policy::fleet::{CallerRequest, Fleet};
 use teaselworks_policy::placement::Placement;
 use teaselworks_policy::shares::Class;
@@ -431,7 +432,8 @@
         let route = &self.routes[self.requests[request].kind].name;
         // The time since the answered attempt was sent. It is shorter than the time since the
         // request's arrival if an earlier attempt timed out while connecting.
-        self.routers[ended.router].on_answered(route, self.now.saturating_sub(ended.sent_at));
+        let elapsed = self.now.saturating_sub(ended.sent_at);
+        self.routers[ended.router].on_answered(self.now, route, SizeClass::default(), elapsed);
         let Request { kind, first_sent_at, first_token_at, .. } = self.requests[request];
         let wait = first_token_at.unwrap_or(self.now).saturating_sub(first_sent_at);
         let waits = self.outcome.waits_ms.entry(self.load.kinds[kind].name.to_string());
--- a/teaselworks_policy/src/configuration/route.rs
+++ b/teaselworks_policy/src/configuration/route.rs
@@ -8,6 +8,12 @@
 /// Silence timeout as a multiple of the larger of target latency and target gap. Callers close a
 /// silent stream only some time after that.
 const SILENCE_TIMEOUT_FACTOR: u32 = 3;
+/// Shortest time after which callers leave a stream of which nothing arrives.
+const MIN_STREAM_PATIENCE: Duration = Duration::from_secs(2);
+/// The same time as a multiple of the target latency.
+const PATIENCE_LATENCY_FACTOR: u32 = 4;
+/// The same time as a multiple of the target gap.
+const PATIENCE_GAP_FACTOR: u32 = 8;
 
 /// How the requests of a route are answered and whether they may be executed more than once.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -96,6 +102,24 @@
         self.target_latency.max(self.target_gap) * SILENCE_TIMEOUT_FACTOR
     }
 
+    /// Returns the time after which callers leave a stream of which nothing arrives; `None` if the
+    /// answers are no streams.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselworks_policy::configuration::{Kind, Route};
+    ///
+    /// let route = Route::example(Kind::Stream, "/a/");
+    /// assert_eq!(route.stream_patience(), Some(Duration::from_millis(3_200)));
+    /// assert_eq!(Route::example(Kind::Idempotent, "/a/").stream_patience(), None);
+    /// ```
+    pub fn stream_patience(&self) -> Option<Duration> {
+        let by_latency = self.target_latency * PATIENCE_LATENCY_FACTOR;
+        let by_gap = self.target_gap * PATIENCE_GAP_FACTOR;
+        let patience = by_latency.max(by_gap).max(MIN_STREAM_PATIENCE);
+        (self.kind == Kind::Stream).then_some(patience)
+    }
+
     /// Returns whether requests of the route go to a service.
     ///
     /// ```
--- a/teaselworks_policy/src/fleet.rs
+++ b/teaselworks_policy/src/fleet.rs
@@ -42,6 +42,7 @@
 
 pub use self::callers::CallerRequest;
 pub use self::settings::FleetSettings;
+pub use self::stop::StoppingRequest;
 
 /// Retry-after time for a service without a pool: none of its replicas has been listed yet.
 const NO_POOL_RETRY_AFTER: Duration = Duration::from_millis(300);
--- a/teaselworks_policy/tests/stop.rs
+++ b/teaselworks_policy/tests/stop.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use teaselworks_policy::durations::DurationEstimate;
-use teaselworks_policy::stop::{Arrival, Phase, StopPlan};
+use teaselworks_policy::stop::{Acceptance, Arrival, Phase, StopPlan};
 use teaselworks_policy::verdict::RefusalReason;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -18,6 +18,9 @@
         duration_estimate,
         max_retry_after: SECOND,
         has_serving_peers,
+        is_forwarded: false,
+        is_idempotent: false,
+        stream_patience: None,
     }
 }
 
@@ -64,6 +67,52 @@
     assert!(plan.admit(SECOND * 31 / 10, &unknown, &mut random).is_err());
 }
 
+/// Guards against a stream that is begun on an estimate alone and cut: what may outlast the process is
+/// passed on whole or not at all, and callers that would leave meanwhile are refused.
+#[test]
+fn late_streams_are_passed_on_whole_or_refused() {
+    let plan = StopPlan::new(8 * SECOND);
+    let mut random = Pcg32::seed_from_u64(1);
+    let stream = Arrival { stream_patience: Some(2 * SECOND), ..arrival(SECOND, false) };
+    assert_eq!(plan.admit(SECOND, &stream, &mut random), Ok(Acceptance::Unchanged));
+    assert_eq!(plan.admit(4 * SECOND, &stream, &mut random), Ok(Acceptance::WholeAnswerOnly));
+    let certain = Arrival { remaining: 3 * SECOND, ..stream };
+    assert_eq!(plan.admit(4 * SECOND, &certain, &mut random), Ok(Acceptance::Unchanged));
+    let long = Arrival { stream_patience: Some(2 * SECOND), ..arrival(3 * SECOND, false) };
+    assert!(plan.admit(4 * SECOND, &long, &mut random).is_err());
+    let seldom = DurationEstimate { typical: SECOND, upper_bound: None };
+    let seldom = Arrival { duration_estimate: Some(seldom), ..stream };
+    assert!(plan.admit(4 * SECOND, &seldom, &mut random).is_err());
+    let repeatable = Arrival { is_idempotent: true, ..seldom };
+    assert_eq!(plan.admit(4 * SECOND, &repeatable, &mut random), Ok(Acceptance::WholeAnswerOnly));
+}
+
+/// Guards against a stream that another router forwards to a stopping one, though it could choose a
+/// third router, and that is cut.
+#[test]
+fn forwarded_requests_are_held_to_the_end_of_the_process_from_the_start() {
+    let plan = StopPlan::new(8 * SECOND);
+    let mut random = Pcg32::seed_from_u64(1);
+    let unknown = Arrival { duration_estimate: None, ..arrival(SECOND, true) };
+    assert!(plan.admit(SECOND, &unknown, &mut random).is_ok());
+    let forwarded = Arrival { is_forwarded: true, ..unknown };
+    assert!(plan.admit(SECOND, &forwarded, &mut random).is_err());
+    let certain = Arrival { remaining: 5 * SECOND, ..forwarded };
+    assert!(plan.admit(SECOND, &certain, &mut random).is_ok());
+}
+
+/// Guards against a long grace period in which requests are accepted that may be cut, though the load
+/// balancer has long stopped sending new ones.
+#[test]
+fn a_long_grace_period_lets_no_uncertain_request_in_after_three_seconds() {
+    let plan = StopPlan::new(16 * SECOND);
+    let mut random = Pcg32::seed_from_u64(1);
+    let unknown =
+        Arrival { duration_estimate: None, remaining: 60 * SECOND, ..arrival(SECOND, true) };
+    assert!(plan.admit(2 * SECOND, &unknown, &mut random).is_ok());
+    assert!(plan.admit(SECOND * 31 / 10, &unknown, &mut random).is_err());
+}
+
 proptest! {
     /// Guards against accepting a request that will be cut off, and against refusing one that would
     /// end in time.
@@ -86,11 +135,14 @@
             duration_estimate: Some(estimate),
             max_retry_after,
             has_serving_peers,
+            is_forwarded: false,
+            is_idempotent: false,
+            stream_patience: None,
         };
         let elapsed = grace.mul_f64(elapsed);
         let expected_end = elapsed + remaining.min(typical);
         match plan.admit(elapsed, &arrival, &mut Pcg32::seed_from_u64(grace_ms)) {
-            Ok(()) => prop_assert!(expected_end < grace || remaining.min(typical).is_zero()),
+            Ok(_) => prop_assert!(expected_end < grace || remaining.min(typical).is_zero()),
             Err(refusal) => {
                 prop_assert!(expected_end + Duration::from_millis(300) > grace);
                 prop_assert_eq!(refusal.reason, RefusalReason::Stopping);
@@ -112,7 +164,8 @@
         let order = |phase| match phase {
             Phase::Accepting => 0,
             Phase::Finishing => 1,
-            Phase::Ended => 2,
+            Phase::Closing => 2,
+            Phase::Ended => 3,
         };
         let mut previous = 0;
         for step in 0..=200_u32 {
@@ -121,7 +174,7 @@
             prop_assert!(phase >= previous);
             previous = phase;
         }
-        prop_assert_eq!(previous, 2);
+        prop_assert_eq!(previous, 3);
         prop_assert_eq!(plan.phase(grace * 5 / 8, 0), Phase::Ended);
     }
 }
