A silent attempt is given up only once another replica has the request

Cause: the router left a silent replica once the retry budget granted a retry, and found out only then whether the stream can be resumed, a replica may be chosen and reached, and does not reject the request. attempt_abandoned, stream_resumed (refused, no_replica) and answer_broken follow within a millisecond.

Change: the request is sent elsewhere while the silent attempt goes on. That one is closed when the other replica answers, or has had the request for 200 ms without rejecting it. If it answers first it keeps the request; if nobody takes it, it goes on. Answers that have not begun are treated alike; at services other than engines both replicas may work until one answers. Both count as runs once both have the request.

Why it works: no belief about a replica closes a connection any more, only what the replica does.

Tests: pauses (7 tests; 6 failed before, second pauses held). silent_attempt_before_a_rejection_may_have_run asked for the fault, a 502 at once when another replica rejects the request of a silent one; it now asks for 504 at the deadline, both rejections, and no attempt_abandoned.

--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -32,11 +32,10 @@
 }
 
 /// Where a request is sent.
-#[derive(Clone, Copy)]
-pub(super) enum Recipient<'a> {
+pub(super) enum Recipient {
     /// A replica of the service.
     Replica {
-        upstream: &'a Upstream,
+        upstream: Arc<Upstream>,
         /// Address of an upstream that may have more of the prompt in its key-value cache.
         holder: Option<SocketAddr>,
     },
@@ -48,24 +47,24 @@
     },
 }
 
-impl Recipient<'_> {
+impl Recipient {
     /// Returns the key of the recipient's connections.
-    fn incarnation(self) -> Incarnation {
+    fn incarnation(&self) -> Incarnation {
         match self {
             Recipient::Replica { upstream, .. } => upstream.incarnation(),
             Recipient::Router { address, .. } => {
-                Incarnation { id: address.to_string().into(), address, started: None }
+                Incarnation { id: address.to_string().into(), address: *address, started: None }
             }
         }
     }
 }
 
 /// One attempt to have a request answered.
-pub(super) struct Attempt<'a> {
-    shared: &'a Arc<Shared>,
-    prepared: &'a PreparedRequest,
-    recipient: Recipient<'a>,
-    resumption: Resumption<'a>,
+pub(super) struct Attempt {
+    shared: Arc<Shared>,
+    prepared: Arc<PreparedRequest>,
+    recipient: Recipient,
+    resumption: Resumption,
     /// Time by which the recipient's deadline is shorter than the request's.
     reply_margin: Duration,
     /// Time after the deadline for which the recipient's answer is awaited.
@@ -74,38 +73,35 @@
     record: SendRecord,
 }
 
-impl<'a> Attempt<'a> {
+impl Attempt {
+    /// Creates an attempt that is not sent yet. `record` shows whether any byte of it was written.
     pub(super) fn new(
-        shared: &'a Arc<Shared>,
-        prepared: &'a PreparedRequest,
-        recipient: Recipient<'a>,
-        resumption: Resumption<'a>,
+        shared: &Arc<Shared>,
+        prepared: &Arc<PreparedRequest>,
+        recipient: Recipient,
+        resumption: Resumption,
         reply_wait: Duration,
+        record: SendRecord,
     ) -> Self {
         let reply_margin = shared.fleet().connect_times.reply_margin();
         Self {
-            shared,
-            prepared,
+            shared: shared.clone(),
+            prepared: prepared.clone(),
             recipient,
             resumption,
             reply_margin,
             reply_wait,
-            record: SendRecord::default(),
+            record,
         }
     }
 
-    /// Returns the record of whether any byte of the request was written.
-    pub(super) fn record(&self) -> SendRecord {
-        self.record.clone()
-    }
-
     /// Sends the request and waits for the head of the answer until the request's deadline, and a
     /// little longer if any of the request was written: the recipient may just be answering that it has
     /// not run it.
     ///
     /// `size_bytes` is the length to send as `content-length` if the body doesn't state it itself.
     pub(super) async fn run(
-        &mut self,
+        mut self,
         body: OutgoingBody,
         size_bytes: Option<u64>,
     ) -> Result<Answer, Failure> {
@@ -208,12 +204,12 @@
 
     /// Builds the request that is sent to the recipient.
     fn build_request(&self, body: OutgoingBody, size_bytes: Option<u64>) -> Request<OutgoingBody> {
-        let prepared = self.prepared;
-        let mut forwarded = match self.recipient {
+        let prepared = &self.prepared;
+        let mut forwarded = match &self.recipient {
             Recipient::Replica { upstream, holder } => {
-                self.replica_request_headers(upstream, holder)
+                self.replica_request_headers(upstream, *holder)
             }
-            Recipient::Router { max_runs, .. } => self.router_request_headers(max_runs),
+            Recipient::Router { max_runs, .. } => self.router_request_headers(*max_runs),
         };
         if let Some(size) = size_bytes {
             forwarded.insert(header::CONTENT_LENGTH, HeaderValue::from(size));
@@ -231,11 +227,13 @@
     }
 
     fn router_request_headers(&self, max_runs: u32) -> HeaderMap {
-        let prepared = self.prepared;
         let remaining = self.remaining_upstream();
-        let Resumption { after, weight_version } = self.resumption;
-        let mut headers =
-            headers::router_request_headers(&prepared.headers, remaining, after, weight_version);
+        let mut headers = headers::router_request_headers(
+            &self.prepared.headers,
+            remaining,
+            self.resumption.after.as_deref(),
+            self.resumption.weight_version.as_deref(),
+        );
         headers.insert(MAX_RUNS, HeaderValue::from(max_runs));
         headers
     }
@@ -245,15 +243,15 @@
         upstream: &Upstream,
         holder: Option<SocketAddr>,
     ) -> HeaderMap {
-        let prepared = self.prepared;
+        let prepared = &self.prepared;
         let added = AddedHeaders {
             upstream_id: &upstream.id,
             remaining: self.remaining_upstream(),
             workspace: prepared.workspace.as_ref().map(|workspace| &*workspace.name),
-            priority: prepared.route.has_prompts.then(|| prepared.engine_priority(self.shared)),
+            priority: prepared.route.has_prompts.then(|| prepared.engine_priority(&self.shared)),
             holder,
-            last_event_id: self.resumption.after,
-            weight_version: self.resumption.weight_version,
+            last_event_id: self.resumption.after.as_deref(),
+            weight_version: self.resumption.weight_version.as_deref(),
         };
         headers::upstream_request_headers(&prepared.headers, &added)
     }
@@ -261,7 +259,7 @@
     /// Records what the replica which answered, maybe through another router, says about itself.
     fn on_statements(&self, metadata: &ResponseMetadata) {
         let service = &self.prepared.service;
-        let id = match self.recipient {
+        let id = match &self.recipient {
             Recipient::Replica { upstream, .. } => Some(&*upstream.id),
             Recipient::Router { .. } => metadata.upstream_id.as_deref(),
         };
--- a/teaselworks/src/relay/in_flight.rs
+++ b/teaselworks/src/relay/in_flight.rs
@@ -118,6 +118,11 @@
         self.outcome = Some(outcome);
     }
 
+    /// Takes back the outcome of an attempt that was taken for ended.
+    pub(super) fn clear_outcome(&mut self) {
+        self.outcome = None;
+    }
+
     /// Records that the answer to the request is complete, and the slot time that it took if a replica
     /// gave the whole answer.
     pub(super) fn on_complete(&mut self, request: &PreparedRequest) {
--- a/teaselworks/src/relay/mod.rs
+++ b/teaselworks/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod request_state;
 mod serve;
 mod shared;
+mod silence;
 mod stream;
 mod stream_origins;
 mod upstream_connection;
--- a/teaselworks/src/relay/request_state.rs
+++ b/teaselworks/src/relay/request_state.rs
@@ -27,14 +27,14 @@
 /// State of a request that is being served, across all its attempts.
 pub(super) struct RequestState {
     pub(super) shared: Arc<Shared>,
-    pub(super) prepared: PreparedRequest,
+    pub(super) prepared: Arc<PreparedRequest>,
     pub(super) configuration: Arc<Configuration>,
     pub(super) body: RequestBody,
     /// Identifiers of the upstreams that were chosen so far, in order, and addresses of the routers
     /// that took the request.
     tried: Vec<Arc<str>>,
     /// Number of failed attempts that may have run the request.
-    runs: u32,
+    pub(super) runs: u32,
     /// Limit on `runs`: with this many, the request is not retried.
     max_runs: u32,
     /// Whether another router took the request, and retries it if that is allowed.
@@ -63,7 +63,7 @@
         };
         Self {
             shared,
-            prepared,
+            prepared: Arc::new(prepared),
             configuration,
             body,
             tried: Vec::new(),
@@ -129,11 +129,17 @@
         self.max_runs.saturating_sub(self.runs)
     }
 
-    /// Decides again whether the request may outlast a planned stop, before an attempt to have it
-    /// answered. The body may have taken long to arrive, or an earlier attempt to fail.
-    pub(super) fn admit_attempt(&mut self) -> Result<(), Refusal> {
-        self.acceptance = self.shared.admit(&self.prepared, self.origin)?;
-        Ok(())
+    /// Refuses the request before an attempt if it may outlast a planned stop, or may crash replicas.
+    ///
+    /// That is decided again for each attempt: the body may have taken long to arrive, or an earlier
+    /// attempt to fail.
+    pub(super) fn admit_attempt(&mut self, has_begun: bool) -> Result<(), Refusal> {
+        if !has_begun {
+            self.acceptance = self.shared.admit(&self.prepared, self.origin)?;
+        }
+        let max_retry_after = self.prepared.deadline.max_retry_after(self.shared.now());
+        let (id, fingerprint) = (&self.prepared.metadata.id, self.prepared.fingerprint);
+        self.shared.admit_fingerprint(id, fingerprint, max_retry_after)
     }
 
     /// Returns the refusal of a request whose answer has not begun when the process is about to exit.
@@ -149,18 +155,28 @@
         u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
     }
 
-    /// Chooses the upstream for the next attempt, or refuses the request.
+    /// Chooses the upstream for the next attempt, or refuses the request. The request counts as in
+    /// flight there until the returned guard is dropped.
     ///
     /// `resumed_after` is the identifier of the last complete event of a stream that is resumed.
-    pub(super) fn place(&mut self, resumed_after: Option<&str>) -> Result<Placement, Refusal> {
-        let now = self.shared.now();
-        let deadline = &self.prepared.deadline;
+    pub(super) fn place(
+        &self,
+        resumed_after: Option<&str>,
+    ) -> Result<(Placement, InFlightRequest), Refusal> {
         let request = self.placement_request(resumed_after);
-        let mut placement = self.shared.fleet().place(now, &self.prepared.service, &request)?;
+        let placed = self.shared.fleet().place(self.shared.now(), &self.prepared.service, &request);
+        let mut placement = placed?;
+        placement.holder = placement.holder.filter(|_| self.has_kv_transfer());
+        let in_flight = self.track_in_flight(&placement);
+        Ok((placement, in_flight))
+    }
+
+    /// Records that the request is sent to the upstream that was chosen.
+    pub(super) fn on_placed(&mut self, placement: &Placement, resumed_after: Option<&str>) {
+        let now = self.shared.now();
         if placement.is_home_cold {
             self.shared.metrics.add_cold_home();
         }
-        placement.holder = placement.holder.filter(|_| self.has_kv_transfer());
         let report_age = placement.report_age.map_or(-1, |age| age.as_millis() as i64);
         event::REQUEST_PLACED.log(&[
             event::text("request", &self.prepared.metadata.id),
@@ -181,14 +197,13 @@
             event::number("attempt", u64::from(self.attempts()) + 1),
             event::text("is_late", &self.prepared.is_late),
             event::number("configuration", self.configuration.version),
-            event::number("remaining_ms", deadline.remaining(now).as_millis() as u64),
+            event::number("remaining_ms", self.prepared.deadline.remaining(now).as_millis() as u64),
             event::text("after_event", &resumed_after.unwrap_or("")),
             event::text("version", &placement.upstream.version),
             event::text("resumes", &self.resumed_stream_id()),
         ]);
         self.count_admission();
         self.tried.push(placement.upstream.id.clone());
-        Ok(placement)
     }
 
     /// Returns what placement needs to know of the request.
@@ -260,12 +275,15 @@
             return;
         }
         self.body.release();
-        self.prepared.headers = HeaderMap::new();
+        // No attempt refers to the request any more.
+        if let Some(prepared) = Arc::get_mut(&mut self.prepared) {
+            prepared.headers = HeaderMap::new();
+        }
     }
 
     /// Returns a guard that keeps the request counted as in flight at the upstream until it is
     /// dropped. The placement already counted the request.
-    pub(super) fn track_in_flight(&self, placement: &Placement) -> InFlightRequest {
+    fn track_in_flight(&self, placement: &Placement) -> InFlightRequest {
         let service = self.prepared.service.clone();
         let request = RequestIdentity {
             id: self.prepared.metadata.id.clone(),
@@ -289,17 +307,7 @@
             self.runs += 1;
         }
         let now = self.shared.now();
-        // A body that was forwarded while it arrived is not buffered and can't be sent to another
-        // upstream. `decide_retry` allows no retry at the maximum count.
-        let can_be_sent_again = self.body.is_buffered() && !self.is_handed_over;
-        let tried_count = if can_be_sent_again { self.attempts() } else { u32::MAX };
-        let history = AttemptHistory {
-            is_idempotent: self.prepared.route.is_idempotent(),
-            tried_count,
-            runs: self.runs,
-            max_runs: self.max_runs,
-            remaining: self.prepared.deadline.remaining(now),
-        };
+        let history = self.history();
         let max_retry_after = self.prepared.deadline.max_retry_after(now);
         let service = &self.prepared.service;
         let mut fleet = self.shared.fleet();
@@ -316,7 +324,7 @@
                 return Err(refusal);
             }
         };
-        // `try_take_silence_retry` took the retry from the budget when it abandoned the attempt.
+        // The retry was taken from the budget when the request was sent elsewhere.
         let is_already_taken = failure == Failure::Silent;
         let is_taken_now = is_budgeted && !is_already_taken;
         let reading = is_taken_now.then(|| fleet.try_take_retry(now, service));
@@ -334,6 +342,20 @@
         Ok(())
     }
 
+    /// Returns the attempts so far and the limits on further ones.
+    fn history(&self) -> AttemptHistory {
+        // A body that was forwarded while it arrived is not buffered and can't be sent to another
+        // upstream. `decide_retry` allows no retry at the maximum count.
+        let can_be_sent_again = self.body.is_buffered() && !self.is_handed_over;
+        AttemptHistory {
+            is_idempotent: self.prepared.route.is_idempotent(),
+            tried_count: if can_be_sent_again { self.attempts() } else { u32::MAX },
+            runs: self.runs,
+            max_runs: self.max_runs,
+            remaining: self.prepared.deadline.remaining(self.shared.now()),
+        }
+    }
+
     /// Records a retry that the retry budget does not allow.
     fn on_withheld(&self, reason: RetryReason, reading: BudgetReading) {
         self.shared.metrics.add_withheld_retry(reason, reading.share);
@@ -374,24 +396,24 @@
         self.runs > 0
     }
 
-    /// Returns whether to abandon a silent attempt for a retry, and if so takes the retry from the
-    /// retry budget. Otherwise the attempt goes on: silence alone doesn't end a request.
-    pub(super) fn try_take_silence_retry(&self) -> bool {
-        let route = &self.prepared.route;
+    /// Returns whether the request may be sent elsewhere while an attempt is silent, which counts as a
+    /// run already.
+    pub(super) fn may_be_sent_elsewhere(&self) -> bool {
+        let history = self.history();
+        let is_retried = matches!(decide_retry(Failure::Silent, &history), Decision::Retry { .. });
+        is_retried && history.remaining > self.prepared.route.target_latency
+    }
+
+    /// Takes a retry from the retry budget for a request that is sent elsewhere while an attempt is
+    /// silent; returns whether it is granted.
+    pub(super) fn try_take_silence_retry(&self, has_begun: bool) -> bool {
+        let reason =
+            if has_begun { RetryReason::Resumed } else { RetryReason::Failed(Failure::Silent) };
         let now = self.shared.now();
-        let remaining = self.prepared.deadline.remaining(now);
-        let has_run_left = self.runs + 1 < self.max_runs;
-        let is_allowed = route.is_idempotent()
-            && self.body.is_buffered()
-            && has_run_left
-            && remaining > route.target_latency;
-        if !is_allowed {
-            return false;
-        }
-        let reason = RetryReason::Failed(Failure::Silent);
         let reading = self.shared.fleet().try_take_retry(now, &self.prepared.service);
         if reading.is_granted {
-            self.log_retry(event::ATTEMPT_ABANDONED, reason, Some(reading));
+            self.shared.metrics.add_retry(reason);
+            self.log_retry(event::ATTEMPT_RETRIED, reason, Some(reading));
         } else {
             self.on_withheld(reason, reading);
         }
--- a/teaselworks/src/relay/stream.rs
+++ b/teaselworks/src/relay/stream.rs
@@ -1,6 +1,8 @@
 //! Forwards an answer while it arrives, and resumes a stream of events at another upstream if it
 //! breaks off.
 
+mod resumption;
+
 use std::pin::Pin;
 use std::time::Duration;
 
@@ -16,13 +18,12 @@
 
 use super::attempt::Answer;
 use super::body::{BodyError, OutgoingBody};
-use super::dispatch::{Dispatched, Resumption};
 use super::event_splitter::{EventSplitter, SplitError};
 use super::event_stream::EventStream;
 use super::in_flight::InFlightRequest;
 use super::origin::Origin;
 use super::request_progress::RequestProgress;
-use super::request_state::{RequestState, request_outcome};
+use super::request_state::RequestState;
 use super::upstream_connection::Connection;
 use crate::metrics::StreamEnding;
 use crate::platform::headers;
@@ -41,6 +42,9 @@
     weight_version: Option<Box<str>>,
 }
 
+/// Frame of a body, or its end.
+type Received = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 /// The upstream connection that an answer currently arrives on.
 struct Source {
     body: Incoming,
@@ -50,6 +54,16 @@
     in_flight: InFlightRequest,
 }
 
+impl Source {
+    /// Returns whether what was received is not a part of the answer or its proper end.
+    fn has_broken(&self, received: &Received) -> bool {
+        match received {
+            Some(frame) => frame.is_err(),
+            None => self.connection.was_aborted(),
+        }
+    }
+}
+
 impl StreamingAnswer {
     /// Creates a streaming answer. `buffered` is the part of its body that was already read.
     pub(super) fn new(answer: Answer, in_flight: InFlightRequest, buffered: Bytes) -> Self {
@@ -75,25 +89,6 @@
     splitter.push(bytes).is_ok() && !splitter.has_partial_event()
 }
 
-/// Returns why an answer can't resume a stream with this status, which weights of `weight_version` wrote
-/// as far as that is known; `None` if it can.
-fn mismatch(
-    answer: &Answer,
-    status: StatusCode,
-    weight_version: Option<&str>,
-) -> Option<&'static str> {
-    let stated = answer.metadata.weight_version.as_deref();
-    if answer.status != status {
-        Some("status")
-    } else if !is_event_stream(&answer.headers) {
-        Some("media_type")
-    } else if stated.is_some() && weight_version.is_some() && stated != weight_version {
-        Some("weight_version")
-    } else {
-        None
-    }
-}
-
 /// Returns the response to the caller: the head of the answer, and a body that forwards the rest.
 pub(super) fn respond(
     answer: StreamingAnswer,
@@ -118,6 +113,7 @@
         buffered: Some(buffered).filter(|buffered| !buffered.is_empty()),
         status,
         source: Some(source),
+        received: None,
         events,
         deadline_timer: Box::pin(tokio::time::sleep(remaining)),
         silence_timer: Box::pin(tokio::time::sleep(request_state.prepared.route.silence_timeout())),
@@ -153,6 +149,8 @@
     status: StatusCode,
     /// `None` between the loss of one upstream and the answer of the next.
     source: Option<Source>,
+    /// What a silent upstream sent while the stream was to be resumed elsewhere.
+    received: Option<Received>,
     /// Splits the body into complete events; `None` if it is not a stream of events and so can't be
     /// resumed.
     events: Option<EventStream>,
@@ -216,14 +214,17 @@
         }
         loop {
             let Some(source) = &mut self.source else { return Err(BodyError::Broken) };
-            let frame = tokio::select! {
-                biased;
-                frame = source.body.frame() => frame,
-                () = &mut self.deadline_timer => return Err(BodyError::Deadline),
-                () = &mut self.silence_timer => {
-                    self.on_silence().await?;
-                    continue;
-                }
+            let frame = match self.received.take() {
+                Some(received) => received,
+                None => tokio::select! {
+                    biased;
+                    frame = source.body.frame() => frame,
+                    () = &mut self.deadline_timer => return Err(BodyError::Deadline),
+                    () = &mut self.silence_timer => {
+                        self.on_silence().await?;
+                        continue;
+                    }
+                },
             };
             self.last_arrival = self.request_state.shared.now();
             match frame {
@@ -242,8 +243,8 @@
         }
     }
 
-    /// Resumes the answer at another upstream if no data has arrived within the silence timeout and
-    /// a retry is allowed. Otherwise sets the timer again.
+    /// Resumes the answer at another upstream if no data has arrived within the silence timeout, a
+    /// retry is allowed and there is a place for it. Otherwise sets the timer again.
     async fn on_silence(&mut self) -> Result<(), BodyError> {
         let silence_timeout = self.request_state.prepared.route.silence_timeout();
         let now = self.request_state.shared.now();
@@ -259,10 +260,8 @@
         if is_at_router {
             return Ok(());
         }
-        if self.events.is_some() && self.request_state.try_take_silence_retry() {
-            self.resume(Failure::Silent).await?;
-        }
-        Ok(())
+        let Some(resumption) = self.resumption() else { return Ok(()) };
+        self.replace_silent(&resumption).await
     }
 
     /// Returns whether an incomplete event is buffered.
@@ -270,77 +269,6 @@
         self.events.as_ref().is_some_and(EventStream::has_partial_event)
     }
 
-    /// Resumes the stream at another upstream after the last complete event. Fails if the answer is
-    /// not a stream of events or no retry is allowed.
-    async fn resume(&mut self, mut failure: Failure) -> Result<(), BodyError> {
-        // Closes the connection, so that the old upstream stops before another one resumes.
-        if let Some(mut source) = self.source.take() {
-            if self.request_state.is_break(failure) {
-                source.in_flight.on_broken().await;
-            }
-            source.in_flight.set_outcome(RequestOutcome::NoAnswer);
-        }
-        let Some(events) = &mut self.events else { return Err(BodyError::Broken) };
-        events.on_broken();
-        if !events.can_resume() {
-            events.on_not_resumed(failure, None, "no_event_id");
-            return Err(BodyError::Broken);
-        }
-        let last_id = events.last_id().map(str::to_owned);
-        let weight_version = events.weight_version().map(str::to_owned);
-        let weight_version = weight_version.as_deref();
-        loop {
-            self.request_state.authorize_retry(failure, true).map_err(|_| BodyError::Broken)?;
-            let resumption = Resumption { after: last_id.as_deref(), weight_version };
-            let Dispatched { answer, mut in_flight } =
-                match self.request_state.dispatch(Some(resumption)).await {
-                    Ok(dispatched) => dispatched,
-                    Err(refusal) => {
-                        events.on_not_resumed(failure, None, refusal.reason.as_str());
-                        return Err(BodyError::Broken);
-                    }
-                };
-            let answer = match answer {
-                Ok(answer) => match mismatch(&answer, self.status, weight_version) {
-                    None => answer,
-                    Some(cause) => {
-                        events.on_not_resumed(failure, Some(&in_flight), cause);
-                        in_flight.set_outcome(RequestOutcome::Error);
-                        failure = Failure::Failed;
-                        continue;
-                    }
-                },
-                Err(attempt_failure) => {
-                    let cause = attempt_failure.as_str();
-                    events.on_not_resumed(failure, Some(&in_flight), cause);
-                    if self.request_state.is_break(attempt_failure) {
-                        in_flight.on_broken().await;
-                    }
-                    // A replica whose weights have another version is not at fault.
-                    if attempt_failure != Failure::Moved || weight_version.is_none() {
-                        in_flight.set_outcome(request_outcome(attempt_failure));
-                    }
-                    failure = attempt_failure;
-                    continue;
-                }
-            };
-            events.on_resumed(failure, &in_flight, &answer.metadata);
-            in_flight.on_resumed();
-            if let Some(load) = answer.metadata.load {
-                in_flight.on_load_report(load);
-            }
-            let Answer { metadata, body, connection, .. } = answer;
-            self.source = Some(Source {
-                body,
-                connection,
-                is_closing: metadata.closes_connection,
-                in_flight,
-            });
-            self.last_arrival = self.request_state.shared.now();
-            return Ok(());
-        }
-    }
-
     /// Records that the answer was forwarded completely, and releases the connection to the
     /// upstream for later requests unless the upstream closes it.
     fn finish(self) {
