Soak: long streams while routers stop, and replicas that pause

Phase at the end of each round (14 s; the faults of the rounds' first 74 s stay as they were for a seed): long streams with a deadline of 12 s come, routers stop, replicas pause for 1.6 s in their answers, rest or are replaced. Check "no request given up for a pause"; "no request cut by a planned stop" now also counts requests sent more than 3 s after the signal.

--- a/teaselworks_standin/src/soak/bounds.rs
+++ b/teaselworks_standin/src/soak/bounds.rs
@@ -21,6 +21,15 @@
 pub(super) const MAX_COLD_REQUESTS: usize = 12;
 /// Time for which a router that was signalled to stop may finish its requests.
 pub(super) const STOP_GRACE: Duration = Duration::from_secs(8);
+/// Time after the beginning of a stop up to which a router may take what it possibly cuts, as long as the
+/// replica is still at work in the last sixth of the grace period.
+pub(super) const UNCERTAIN_TIME: Duration = Duration::from_secs(3);
+/// Time that a long stream takes.
+pub(super) const LONG_STREAM_TIME: Duration = Duration::from_secs(5);
+/// Maximum number of output tokens that requests for long streams state.
+pub(super) const LONG_STREAM_TOKENS: u32 = 400;
+/// Pause of a replica in an answer, longer than the silence timeout of every route.
+pub(super) const PAUSE: Duration = Duration::from_millis(1_600);
 /// Rest that a replica requests.
 pub(super) const REST: Duration = Duration::from_secs(2);
 /// Time after the end of a fault from which guarantees with a time bound hold again.
--- a/teaselworks_standin/src/soak/bug.rs
+++ b/teaselworks_standin/src/soak/bug.rs
@@ -56,6 +56,10 @@
     BudgetOfEachRouter => "retry budget",
     /// A planned stop cuts a request in progress.
     CutByStop => "no request cut by a planned stop",
+    /// A planned stop cuts long streams that it was sent late.
+    LateStreamCutByStop => "no request cut by a planned stop",
+    /// A stream is cut because its replica pauses.
+    CutByPause => "no request given up for a pause",
     /// A router process exits although no fault ended it.
     UnexpectedExit => "no unexpected exit of a router",
     /// A router that reaches no replica refuses its callers.
--- a/teaselworks_standin/src/soak/callers.rs
+++ b/teaselworks_standin/src/soak/callers.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use super::bounds::{CRASHING_PREFIX, REPEATED_PREFIX};
+use super::bounds::{CRASHING_PREFIX, LONG_STREAM_TOKENS, REPEATED_PREFIX};
 use super::bug::Bug;
 use super::content::{content_key, event_count, falsify_events, parse_events};
 use super::fleet::{SoakFleet, version_route_prefix};
@@ -45,6 +45,14 @@
 const MAX_RESUMPTIONS: u32 = 3;
 /// Time between two requests with a part that crashes replicas.
 const CRASHING_INTERVAL: Duration = Duration::from_millis(120);
+/// Time between two requests for long streams.
+const LONG_STREAM_INTERVAL: Duration = Duration::from_millis(150);
+/// Beginning of the identifiers of requests for long streams.
+const LONG_PREFIX: &str = "long";
+/// Deadline that callers send with a request for a long stream.
+const LONG_DEADLINE: Duration = Duration::from_secs(12);
+/// Time before its deadline from which a request may end without an answer.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
 /// Pause between two probes for the newest configuration, and before a caller connects again after
 /// a failed attempt.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
@@ -112,6 +120,7 @@
     }
     let number = callers + fleet.routers.len();
     tasks.push(tokio::spawn(caller(number).send_crashing_requests(stop.clone())));
+    tasks.push(tokio::spawn(caller(number + 1).send_long_streams(stop.clone())));
     for router in 0..fleet.routers.len() {
         tasks.push(tokio::spawn(caller(callers + router).probe_versions(router, stop.clone())));
     }
@@ -319,6 +328,51 @@
         }
     }
 
+    /// Sends requests for long streams to the routers in turn while they are due, each over a connection
+    /// of its own.
+    async fn send_long_streams(mut self, stop: CancellationToken) {
+        while !stop.is_cancelled() {
+            tokio::time::sleep(LONG_STREAM_INTERVAL).await;
+            if !self.recorder.traffic().has_long_streams {
+                continue;
+            }
+            self.request_count += 1;
+            let mut caller = self.clone();
+            tokio::spawn(async move { caller.send_long_stream().await });
+        }
+    }
+
+    async fn send_long_stream(&mut self) {
+        let is_resumable = self.request_count.is_multiple_of(2);
+        let kind = if is_resumable { RequestKind::ResumableChat } else { RequestKind::Chat };
+        let router = self.request_count as usize / 2 % self.routers.len();
+        let id = format!("{LONG_PREFIX}{}n{}", self.number, self.request_count);
+        let own = (self.number as u32 + 1) * 0x1_0000 + self.request_count;
+        let mut call = build_call(kind, &id, Content { chat: 0, own });
+        let replaced = ["X-Deadline-Ms", "X-Token-Usage"];
+        call.headers.retain(|(name, _)| !replaced.contains(&name.as_str()));
+        let call = call
+            .with_header("X-Deadline-Ms", &LONG_DEADLINE.as_millis().to_string())
+            .with_header("X-Token-Usage", &format!("1000,{LONG_STREAM_TOKENS}"));
+        let Ok(mut connection) = Connection::open(self.routers[router]).await else { return };
+        let sent_at = self.recorder.now();
+        let outcome = match connection.call(&call).await {
+            Ok(Some(reply)) => self.evaluate(&reply, kind, &id, None),
+            Ok(None) | Err(_) => Outcome::NoResponse,
+        };
+        self.recorder.record_request(RequestRecord {
+            id,
+            kind,
+            content: call_content(&call),
+            router,
+            sent_at,
+            ended_at: self.recorder.now(),
+            outcome,
+            resumes: None,
+            is_interrupted: false,
+        });
+    }
+
     /// Requests the route of the newest configuration from one router until the soak ends, and
     /// records whether the router has it.
     async fn probe_versions(mut self, router: usize, stop: CancellationToken) {
@@ -379,6 +433,13 @@
         .with_body(&format!("Which verse is older than verse {verse}?"))
 }
 
+/// Returns whether a request ended at the deadline that its caller sent with it.
+pub(super) fn has_reached_deadline(request: &RequestRecord) -> bool {
+    let is_long = request.id.starts_with(LONG_PREFIX);
+    let deadline = if is_long { LONG_DEADLINE } else { REQUEST_DEADLINE };
+    request.ended_at.saturating_sub(request.sent_at) + DEADLINE_MARGIN >= deadline
+}
+
 /// Returns the key of what a request asks for.
 fn call_content(call: &Call) -> u64 {
     let prompt = call.headers.iter().find(|(name, _)| name == "X-Prompt-Prefix");
--- a/teaselworks_standin/src/soak/checks.rs
+++ b/teaselworks_standin/src/soak/checks.rs
@@ -7,12 +7,14 @@
 
 use super::bounds::{
     DRAINING_BOUND, PROXY_LATENCY, RECOVERY_TIME, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW,
-    STOP_GRACE,
+    STOP_GRACE, UNCERTAIN_TIME,
 };
 use super::bug::Bug;
+use super::callers::has_reached_deadline;
 use super::crash_checks::{check_crashing_parts, check_crashing_requests};
 use super::fleet::SERVICES;
 use super::link_checks::{check_cuts, check_funnels, check_leaving, check_rests};
+use super::pause_checks::check_pauses;
 use super::record::{Arrival, Observations, Outcome, Recorder, RequestRecord, VersionProbe};
 use super::stream_checks::{check_origins, check_resumptions, check_streams};
 use super::violation::{Violation, is_undisturbed};
@@ -30,6 +32,7 @@
     check_drains(&observations, recorder.simulated_bug, &mut violations);
     check_retries(&observations, &mut violations);
     check_planned_stops(&observations, recorder.simulated_bug, &mut violations);
+    check_pauses(&observations, recorder.simulated_bug, &mut violations);
     check_cuts(&observations, recorder.simulated_bug, &mut violations);
     check_funnels(&observations, recorder.simulated_bug, &mut violations);
     check_rests(&observations, recorder.simulated_bug, &mut violations);
@@ -164,7 +167,10 @@
 }
 
 /// Returns whether a replica that the request reached was removed while the request was in progress.
-fn is_broken_off_by_replica(observations: &Observations, request: &RequestRecord) -> bool {
+pub(super) fn is_broken_off_by_replica(
+    observations: &Observations,
+    request: &RequestRecord,
+) -> bool {
     let in_progress = request.sent_at..=request.ended_at;
     let mut removals = observations.removals.iter().filter(|(_, at)| in_progress.contains(at));
     let upstreams = upstreams_of(observations, request);
@@ -172,7 +178,10 @@
 }
 
 /// Returns the replicas that a request reached.
-fn upstreams_of<'a>(observations: &'a Observations, request: &RequestRecord) -> Vec<&'a str> {
+pub(super) fn upstreams_of<'a>(
+    observations: &'a Observations,
+    request: &RequestRecord,
+) -> Vec<&'a str> {
     let arrivals = observations.arrivals.iter().filter(|arrival| arrival.id == request.id);
     arrivals.map(|arrival| arrival.upstream.as_str()).collect()
 }
@@ -203,6 +212,11 @@
                 Outcome::Abandoned => false,
             };
             let from = request.sent_at.saturating_sub(RECOVERY_TIME);
+            let is_late = request.sent_at > stop.from + UNCERTAIN_TIME;
+            // The replica was still at work in the last sixth of the grace period.
+            let is_allowed = !is_late && request.ended_at >= stop.from + STOP_GRACE * 5 / 6;
+            let is_simulated = bug == Some(Bug::LateStreamCutByStop) && is_late;
+            let is_cut = is_simulated || is_cut && !is_allowed && !has_reached_deadline(request);
             let is_cut_by_stop = is_cut && !is_broken_off_by_replica(observations, request);
             let is_calm = is_undisturbed(observations, from, request.ended_at);
             if is_during_stop && is_cut_by_stop && is_calm {
--- a/teaselworks_standin/src/soak/fault.rs
+++ b/teaselworks_standin/src/soak/fault.rs
@@ -18,7 +18,7 @@
 /// install its signal handlers.
 pub(super) const LOOP_INTERVAL: Duration = Duration::from_millis(50);
 /// Phases of a soak in turn, in seconds; the first one follows the last.
-const PHASES: [(Phase, u64); 7] = [
+const PHASES: [(Phase, u64); 8] = [
     (Phase::Cuts, 9),
     (Phase::PlannedOnly, 12),
     (Phase::Releases, 12),
@@ -26,6 +26,7 @@
     (Phase::Retries, 9),
     (Phase::Calm, 13),
     (Phase::Crashes, 7),
+    (Phase::Pauses, 14),
 ];
 /// Limit on the time for which routers are cut off from all replicas.
 const MAX_CUT_MS: u64 = 7_000;
@@ -33,6 +34,8 @@
 const REJECTS_DURATION: Duration = Duration::from_secs(9);
 /// Time for which requests with a crashing part come.
 const CRASHES_DURATION: Duration = Duration::from_millis(6_800);
+/// Time for which a replica pauses in the answers to what arrives.
+const PAUSES_DURATION: Duration = Duration::from_secs(3);
 /// Time for which most new connections reach one router.
 const FUNNEL_DURATION: Duration = Duration::from_secs(3);
 /// Recorded duration of a stall: the time for which routers may still use stalled connections
@@ -61,6 +64,8 @@
     Calm,
     /// A part of prompts or a request crashes replicas, and nothing else fails.
     Crashes,
+    /// Long streams come, replicas pause, and nothing but planned operations happens.
+    Pauses,
 }
 
 impl Phase {
@@ -86,6 +91,7 @@
         None | Some(Bug::RefusalsByCutRouter) => Phase::Cuts,
         Some(Bug::BudgetOfEachRouter | Bug::RequestsGoOn) => Phase::Retries,
         Some(Bug::CrashesGoOn) => Phase::Crashes,
+        Some(Bug::LateStreamCutByStop | Bug::CutByPause) => Phase::Pauses,
         Some(_) => Phase::PlannedOnly,
     };
     first_phase.start()
@@ -119,6 +125,8 @@
     Release(&'static str, Listing),
     /// Planned: a replica rejects some requests and requests rest.
     RestReplica(usize),
+    /// Planned: a replica pauses in its answers, and goes on.
+    PauseReplica(usize),
     /// Planned: evacuates the zone with this index, whose replicas are cold when it is taken back.
     EvacuateZone(usize),
     /// Cuts some routers, the given number from the given index on, off from all replicas.
@@ -265,6 +273,17 @@
         }
     }
 
+    /// Draws the stop of a router, the pause of a replica, or what leaves paused streams no other one.
+    pub(super) fn random_with_pauses(fleet: &SoakFleet, random: &mut Pcg32) -> Self {
+        let replica = random.random_range(0..REPLICA_COUNT);
+        match random.random_range(0..9) {
+            0..3 => Fault::StopRouter(random.random_range(0..fleet.routers.len())),
+            3..7 => Fault::PauseReplica(replica),
+            7 => Fault::ReplaceReplica(replica, true),
+            _ => Fault::RestReplica(replica),
+        }
+    }
+
     /// Draws a kind of request that crashes replicas.
     pub(super) fn random_crashing_request(random: &mut Pcg32) -> Self {
         let kind = random.random_range(0..RequestKind::ALL.len());
@@ -286,6 +305,7 @@
                 | Fault::Release(..)
                 | Fault::ReplaceReplica(..)
                 | Fault::RestReplica(_)
+                | Fault::PauseReplica(_)
                 | Fault::EvacuateZone(_)
                 | Fault::FunnelCallers(_)
         )
@@ -302,6 +322,7 @@
             | Fault::SuspendRouter(router) => router_target(router),
             Fault::ReplaceReplica(replica, _)
             | Fault::RestReplica(replica)
+            | Fault::PauseReplica(replica)
             | Fault::CorruptEntry(replica)
             | Fault::RestartReplica(replica)
             | Fault::DegradeReplica(replica, _) => format!("replica-{replica}"),
@@ -337,6 +358,7 @@
                 Duration::from_millis(random.random_range(MAX_DOWN_MS..MAX_LATE_MS))
             }
             Fault::RestReplica(_) => 2 * REST,
+            Fault::PauseReplica(_) => PAUSES_DURATION,
             Fault::EvacuateZone(_) => {
                 EVACUATION_BOUND + Duration::from_millis(random.random_range(500..2_500))
             }
--- a/teaselworks_standin/src/soak/faults.rs
+++ b/teaselworks_standin/src/soak/faults.rs
@@ -15,7 +15,7 @@
 use super::bug::Bug;
 use super::fault::{Fault, LOOP_INTERVAL, Link, Phase, router_target, skipped_time};
 use super::fleet::{SoakFleet, ZONES};
-use super::record::{FunnelSpan, PartitionSpan, Recorder};
+use super::record::{FunnelSpan, PartitionSpan, PauseSpan, Recorder};
 use super::replica::{FIRST_CRASHING_PART, Listing, Replica, ReplicaMode};
 use crate::proxy::{DirectionFaults, Proxy, ProxyFaults};
 use crate::store::Mode;
@@ -65,6 +65,8 @@
         if is_over {
             return Ok(injected);
         }
+        let phase = Phase::at(elapsed + skipped_time(recorder.simulated_bug));
+        recorder.traffic().has_long_streams = phase == Phase::Pauses;
         restart_exited_routers(fleet, recorder, &active_faults).await?;
         restart_crashed_replicas(fleet, recorder).await?;
         // To simulate the bug, kills router 0 after the third fault until an exit was noticed.
@@ -76,7 +78,7 @@
         }
         if elapsed >= next_at {
             next_at = elapsed + Duration::from_millis(random.random_range(50..MAX_FAULT_PAUSE_MS));
-            let fault = match Phase::at(elapsed + skipped_time(recorder.simulated_bug)) {
+            let fault = match phase {
                 Phase::PlannedOnly => recorder
                     .simulated_bug
                     .filter(|_| random.random())
@@ -91,6 +93,7 @@
                 Phase::Retries => Fault::random_with_retries(fleet, random),
                 Phase::Crashes if recorder.simulated_bug.is_some() => Fault::CrashingPart,
                 Phase::Crashes => Fault::random_crash(random),
+                Phase::Pauses => Fault::random_with_pauses(fleet, random),
                 Phase::Calm => Fault::FunnelCallers(random.random_range(0..fleet.routers.len())),
             };
             let until = now + fault.duration(random);
@@ -108,6 +111,9 @@
                     let partition = PartitionSpan { routers, from: now, to: until, span };
                     recorder.observations().partitions.push(partition);
                 }
+                if let Fault::PauseReplica(_) = fault {
+                    recorder.observations().pauses.push(PauseSpan { from: now, to: until });
+                }
                 if let Fault::FunnelCallers(router) = fault {
                     let funnel = FunnelSpan { router, from: now, to: until };
                     recorder.observations().funnels.push(funnel);
@@ -237,6 +243,7 @@
         Fault::RestReplica(replica) => {
             fleet.replicas[replica].set_mode(ReplicaMode::AsksForRest);
         }
+        Fault::PauseReplica(replica) => fleet.replicas[replica].set_mode(ReplicaMode::Pauses),
         Fault::CutFromReplicas(first, count, partition) => {
             for router in cut_routers(fleet, first, count) {
                 fleet.routers[router].links.partition(partition);
@@ -319,7 +326,9 @@
         }
         Fault::EvacuateZone(zone) => fleet.take_zone_back(ZONES[zone], recorder),
         Fault::SuspendRouter(router) => fleet.routers[router].process.signal(Signal::SIGCONT)?,
-        Fault::RestReplica(replica) => fleet.replicas[replica].set_mode(ReplicaMode::Healthy),
+        Fault::RestReplica(replica) | Fault::PauseReplica(replica) => {
+            fleet.replicas[replica].set_mode(ReplicaMode::Healthy);
+        }
         Fault::CutFromReplicas(first, count, _) => {
             for router in cut_routers(fleet, first, count) {
                 fleet.routers[router].links.heal();
--- a/teaselworks_standin/src/soak/mod.rs
+++ b/teaselworks_standin/src/soak/mod.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod fleet;
 mod link_checks;
+mod pause_checks;
 mod record;
 mod replica;
 mod stream_checks;
--- a/teaselworks_standin/src/soak/record.rs
+++ b/teaselworks_standin/src/soak/record.rs
@@ -169,6 +169,13 @@
     pub(super) to: Duration,
 }
 
+/// Time during which a replica paused in the answers to what arrived.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PauseSpan {
+    pub(super) from: Duration,
+    pub(super) to: Duration,
+}
+
 /// Time during which a replica took new requests, by its entries in the store.
 #[derive(Clone, Debug)]
 pub(super) struct ServingSpan {
@@ -207,6 +214,8 @@
     pub(super) evacuations: Vec<EvacuationSpan>,
     /// Times during which most new connections reached one router.
     pub(super) funnels: Vec<FunnelSpan>,
+    /// Times during which replicas paused in their answers.
+    pub(super) pauses: Vec<PauseSpan>,
     /// Times at which replicas crashed on a part of a prompt.
     pub(super) crashes: Vec<Duration>,
     /// Identifiers of requests that replicas dropped since a router closed the connection.
@@ -251,6 +260,8 @@
 pub(super) struct Traffic {
     /// Router that most new connections reach.
     pub(super) funnel: Option<usize>,
+    /// Whether long streams come.
+    pub(super) has_long_streams: bool,
     /// Part of prompts that crashes replicas.
     pub(super) crashing_part: Option<u64>,
     /// Kind and number of the request that crashes replicas.
--- a/teaselworks_standin/src/soak/replica.rs
+++ b/teaselworks_standin/src/soak/replica.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use super::bounds::REST;
+use super::bounds::{LONG_STREAM_TIME, LONG_STREAM_TOKENS, PAUSE, REST};
 use super::bug::Bug;
 use super::content::{
     EVENT_INTERVAL, StreamEvent, content_key, event_count, event_interval, is_unframed,
@@ -22,6 +22,9 @@
 /// One request in this many is rejected by replicas that reject some.
 const REJECT_ONE_IN: u32 = 3;
 
+/// Event before which a replica in [`ReplicaMode::Pauses`] pauses.
+const PAUSED_EVENT: u32 = 3;
+
 /// How a replica responds to requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) enum ReplicaMode {
@@ -46,6 +49,8 @@
     AsksForRest,
     /// It responds correctly and states that it is leaving.
     IsLeaving,
+    /// It pauses in the middle of each response.
+    Pauses,
 }
 
 impl ReplicaMode {
@@ -165,6 +170,13 @@
     bytes.map(u32::from).sum::<u32>().is_multiple_of(2)
 }
 
+/// Returns whether a request asks for a long stream.
+fn is_long_stream(req: &ReceivedRequest) -> bool {
+    let usage = req.head.header("x-token-usage").unwrap_or_default();
+    let output = usage.split_once(',').and_then(|(_, output)| output.parse::<u32>().ok());
+    output.is_some_and(|output| output >= LONG_STREAM_TOKENS)
+}
+
 /// Returns the head of a stream that ends with its connection.
 fn unframed_head(id: &str) -> Vec<u8> {
     format!(
@@ -212,7 +224,8 @@
     }
     let mut steps = Vec::new();
     if event.service == ARCHIVE_SERVICE {
-        steps.push(Step::Pause(EVENT_INTERVAL));
+        let is_paused = mode == ReplicaMode::Pauses;
+        steps.push(Step::Pause(if is_paused { PAUSE } else { EVENT_INTERVAL }));
         steps.push(Step::Write(raw_response(id, 200, &body_for(id))));
     } else {
         let last = req.head.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
@@ -222,7 +235,14 @@
             if simulated_bug == Some(Bug::MissingEvent) && number == 2 {
                 continue;
             }
-            steps.push(Step::Pause(event_interval(content)));
+            let is_long = is_long_stream(req);
+            let interval = if is_long {
+                LONG_STREAM_TIME / event_count(content)
+            } else {
+                event_interval(content)
+            };
+            let is_paused = mode == ReplicaMode::Pauses && number == PAUSED_EVENT;
+            steps.push(Step::Pause(if is_paused { PAUSE } else { interval }));
             event.number = number;
             let text = event.text();
             steps.push(Step::Write(if is_unframed { text.into_bytes() } else { chunk(&text) }));
@@ -233,6 +253,7 @@
         ReplicaMode::Healthy
         | ReplicaMode::RejectsRequests
         | ReplicaMode::RejectsHalf
+        | ReplicaMode::Pauses
         | ReplicaMode::AsksForRest => {}
         ReplicaMode::IsBrittle => return Script::new(steps).with_header(BRITTLE_HEADER),
         ReplicaMode::IsLeaving => return Script::new(steps).with_header("server-leaving: 1"),
--- a/teaselworks_standin/tests/soak.rs
+++ b/teaselworks_standin/tests/soak.rs
@@ -36,7 +36,7 @@
 #[tokio::test]
 async fn guarantees_hold_under_random_faults() {
     let seeds: Vec<u64> = [7].into_iter().chain(REGRESSION_SEEDS).collect();
-    let soaks = seeds.iter().map(|seed| run_short_soak(*seed, 75, None));
+    let soaks = seeds.iter().map(|seed| run_short_soak(*seed, 90, None));
     for (seed, report) in seeds.iter().zip(join_all(soaks).await) {
         assert!(report.violations.is_empty(), "seed {seed}: {report}\n{:#?}", report.faults);
         assert!(report.answered * 2 > report.requests, "seed {seed}: {report}");
