--- a/teaselworks/tests/cut_heads.rs
+++ b/teaselworks/tests/cut_heads.rs
@@ -7,9 +7,13 @@
 use common::{chat, fleet, program, request};
 use futures_util::StreamExt;
 use futures_util::stream;
+use teaselworks::platform::Store;
 use teaselworks_standin::caller::{Call, Reply, call};
+use teaselworks_standin::configuration::TestConfiguration;
 use teaselworks_standin::fleet::{Fleet, wait_until};
 use teaselworks_standin::links::Partition;
+use teaselworks_standin::proxy::Proxy;
+use teaselworks_standin::store::Store as StandinStore;
 use teaselworks_standin::upstream::{
     ReceivedRequest, Script, Step, chunk, event, raw_response, stream_head,
 };
@@ -18,6 +22,10 @@
 const CONCURRENT_REQUESTS: usize = 8;
 /// Pause between two segments of a head.
 const SEGMENT_PAUSE: Duration = Duration::from_millis(2);
+/// Length that no response of the store in this test exceeds.
+const MAX_RESPONSE_BYTES: u64 = 16 << 10;
+/// Length that each response to a write exceeds.
+const MIN_WRITE_RESPONSE_BYTES: u64 = 60;
 /// Last event before a stream breaks off.
 const BREAK_AFTER: u32 = 2;
 
@@ -182,3 +190,29 @@
         assert!(reply.events().len() <= BREAK_AFTER as usize, "{reply:?}");
     }
 }
+
+/// Guards against a response of the store that ends before it is whole and is taken for all that the store
+/// has, or for a write that it has done.
+#[tokio::test]
+async fn a_cut_response_of_the_store_counts_as_failed() {
+    let store = StandinStore::start().unwrap();
+    store.put_json("op/config", &TestConfiguration::default().value);
+    let proxy = Proxy::start(store.address()).unwrap();
+    let cut_after = |bytes| {
+        proxy.set_faults(|faults| faults.backward.cut_after_bytes = Some(bytes));
+        Store::new(proxy.address())
+    };
+    let mut length = 1;
+    while let Err(error) = cut_after(length).snapshot().await {
+        assert!(length < MAX_RESPONSE_BYTES, "{error}");
+        length += 1;
+    }
+    // The whole response fits now, and the last byte was needed.
+    let whole = Store::new(store.address()).snapshot().await.unwrap();
+    assert_eq!(cut_after(length).snapshot().await.unwrap().items, whole.items);
+    for length in 1..=MIN_WRITE_RESPONSE_BYTES {
+        let key = format!("cut-{length}");
+        let written = cut_after(length).put_if(&key, b"{}", 0).await;
+        assert!(written.is_err(), "cut after {length} bytes");
+    }
+}
