Streams go on in a fleet that has just started on an empty store

Cause: nothing is concluded from routes and lists before a minute, unless the store has a record of them or the settings say that the fleet starts for the first time. A fleet that starts on an empty store without that setting has neither for its first minute.

Change: a router whose first list of the store names no router, and that finds no record there, takes that for the first start, and writes the record within a second. Whoever starts later goes by the record.

Why it works: before that list no router was registered that could have begun a stream, and each fleet writes a record when it first starts; a record, an entry of its own or a later list end the claim as before.

--- a/teaselworks/src/discovery/updater.rs
+++ b/teaselworks/src/discovery/updater.rs
@@ -148,6 +148,9 @@
         let (revision, recorded) = recorded_origins;
         self.apply_recorded_origins(recorded, revision, source);
         self.shared.fleet().on_listed_routers(&routers);
+        if source == Source::Store && routers.is_empty() {
+            self.shared.fleet().on_no_routers_listed();
+        }
         let changes = self.registry().replace(now, upstreams);
         self.apply_upstream_changes(&changes, snapshot.revision, source);
         let lost = self.shared.fleet().membership.replace(now, routers);
--- a/teaselworks_policy/src/fleet/streams.rs
+++ b/teaselworks_policy/src/fleet/streams.rs
@@ -41,6 +41,14 @@
         }
     }
 
+    /// Records that the store lists no router, and whatever record of where streams can have begun came with
+    /// that list.
+    pub fn on_no_routers_listed(&mut self) {
+        if !self.membership.has_registered() {
+            self.origin_memory.on_no_routers_listed();
+        }
+    }
+
     /// Records what the store has of where streams can have begun; `None` if it has nothing.
     pub fn on_recorded_origins(&mut self, revision: u64, recorded: Option<RecordedOrigins>) {
         for (service, pool) in &mut self.pools {
--- a/teaselworks_policy/src/origin_memory.rs
+++ b/teaselworks_policy/src/origin_memory.rs
@@ -129,6 +129,15 @@
         self.first_start = FirstStart::Claimed;
     }
 
+    /// Records that the store lists no router. If this is the first list that this router reads and the
+    /// store has no record either, no other router has begun a stream: a fleet writes the record when it
+    /// first starts.
+    pub fn on_no_routers_listed(&mut self) {
+        if self.started_at.is_none() && self.recorded.is_none() {
+            self.first_start = FirstStart::Claimed;
+        }
+    }
+
     /// Records that the store lists an earlier process of this router.
     pub fn on_earlier_process(&mut self) {
         self.first_start = FirstStart::No;
--- a/teaselworks_policy/tests/origin_memory.rs
+++ b/teaselworks_policy/tests/origin_memory.rs
@@ -118,6 +118,28 @@
     }
 }
 
+/// Guards against refusals in a fleet that starts on an empty store without being told so, and against a
+/// router that takes a store with a record, or a later list, for that of a first start.
+#[test]
+fn an_empty_store_is_a_first_start() {
+    let first_record = Some(RecordedOrigins::default());
+    for (recorded, has_read_list, expected) in
+        [(None, false, true), (None, true, false), (first_record.clone(), false, false)]
+    {
+        let mut fleet = fleet();
+        configure(&mut fleet, START, 1, &[("/gloss/", &["chat"])]);
+        fleet.on_recorded_origins(1, recorded);
+        if has_read_list {
+            fleet.on_list_confirmed(START);
+        }
+        fleet.on_no_routers_listed();
+        list(&mut fleet, START, "i-1", "v1");
+        fleet.on_list_confirmed(START);
+        fleet.on_recorded_origins(2, first_record.clone());
+        assert_eq!(tells(&mut fleet, START), expected);
+    }
+}
+
 /// Guards against a router whose list had lapsed and that did not see a version come and go.
 #[test]
 fn a_gap_in_the_list_ends_what_a_router_remembers() {
