An error of another replica does not end a silent attempt at once

Cause: any answer of the other replica counted as a place for the request. Change: after an error the silent replica gets one more silence timeout; then the error is taken, so that callers of a replica that is down do not wait for their deadline. Test: pauses::a_slow_answer_is_awaited_if_the_other_replica_fails, failed before.

--- a/teaselworks/src/relay/dispatch.rs
+++ b/teaselworks/src/relay/dispatch.rs
@@ -26,6 +26,13 @@
     pub(super) in_flight: InFlightRequest,
 }
 
+impl Dispatched {
+    /// Returns whether the answer is an error of the recipient.
+    pub(super) fn is_error(&self) -> bool {
+        self.answer.as_ref().is_ok_and(|answer| answer.status.is_server_error())
+    }
+}
+
 /// An attempt at a replica whose answer has not begun.
 pub(super) struct PendingAttempt {
     pub(super) answer: BoxFuture<'static, Result<Answer, Failure>>,
--- a/teaselworks/src/relay/silence.rs
+++ b/teaselworks/src/relay/silence.rs
@@ -106,7 +106,7 @@
             dispatched = elsewhere.as_mut() => First::Elsewhere(dispatched),
             () = taken_over(&record), if !may_run_at_both => First::Taken,
         };
-        let PendingAttempt { answer, mut in_flight, record: attempt_record } = attempt;
+        let PendingAttempt { mut answer, mut in_flight, record: attempt_record } = attempt;
         let (failure, dispatched) = match first {
             First::Silent(Ok(answer)) => {
                 drop(elsewhere);
@@ -121,6 +121,13 @@
             }
             First::Elsewhere(Some(dispatched)) if dispatched.answer.is_ok() => {
                 drop(elsewhere);
+                // An error is no place: the silent replica gets as much time again to do better.
+                let patience = self.prepared.route.silence_timeout();
+                if dispatched.is_error()
+                    && let Ok(Ok(answer)) = tokio::time::timeout(patience, answer.as_mut()).await
+                {
+                    return Ok(Dispatched { answer: Ok(answer), in_flight });
+                }
                 (Failure::Silent, Some(dispatched))
             }
             First::Elsewhere(dispatched) => {
--- a/teaselworks/tests/pauses.rs
+++ b/teaselworks/tests/pauses.rs
@@ -208,3 +208,23 @@
         assert!(runs <= 2, "{runs} runs");
     }
 }
+
+/// Guards against a slow answer that is given up since another replica answers with an error.
+#[tokio::test]
+async fn a_slow_answer_is_awaited_if_the_other_replica_fails() {
+    let fleet = start_fleet(&json!({})).await;
+    let seen: &Mutex<HashSet<String>> = Box::leak(Box::default());
+    for archive in &fleet.archives {
+        archive.set_behaviour(|req| {
+            if !seen.lock().unwrap().insert(req.id().to_owned()) {
+                return Script::response(req, 500, "out of ink");
+            }
+            let respond = Step::Write(raw_response(req.id(), 200, "a verse"));
+            Script::new(vec![Step::Pause(Duration::from_millis(5 * TARGET_MS)), respond])
+        });
+    }
+    let reads = (0..REQUESTS).map(|number| request("GET", "/read/a", &format!("fails-{number}")));
+    for reply in send_all(&fleet, reads.collect()).await {
+        assert_eq!((reply.status(), reply.text().as_str()), (200, "a verse"), "{reply:?}");
+    }
+}
