Soak: routers keep their whole grace period also after crashes

Trace: router 1 was signalled at 74.966 s and killed 7.41 s later, with no router_stopped in its log; the streams had been sent 6 s after the signal and ended with the kill. Cause: the end of a fault was counted from the reading of the clock at the top of the loop, and the ends of other faults, which take 0.6 s after a series of crashes, came in between. Change: the clock is read again before a fault begins.

--- a/teaselworks_standin/src/soak/faults.rs
+++ b/teaselworks_standin/src/soak/faults.rs
@@ -96,6 +96,8 @@
                 Phase::Pauses => Fault::random_with_pauses(fleet, random),
                 Phase::Calm => Fault::FunnelCallers(random.random_range(0..fleet.routers.len())),
             };
+            // The ends of other faults may have taken a while.
+            let now = recorder.now();
             let until = now + fault.duration(random);
             let busy_targets: HashSet<String> =
                 active_faults.iter().map(|active| active.fault.target()).collect();
