An item of the store that cannot be decoded hides no other item

What callers would see: one entry of another writer whose key is no Unicode text (a lone surrogate), or whose value is not text but nested deeper than 128 levels or a number beyond any type, made the router reject the whole response of the store. It followed no change any more, neither of the configuration nor of replicas, for as long as that entry was there; one that started then knew nothing. Cause: `WireItem` decoded key and value with the response. `WireValue` was an untagged enum, whose buffer is built recursively and has serde_json's limit. Change: keys and values stay raw JSON and are decoded one by one (`raw_value` of serde_json). The text stands in for a key that cannot be decoded, which is of no kind that routers read. Pages are continued after the last key that can be decoded; one without any further key ends the read with an error. The stand-in decodes percent-encoded keys, which its pages were continued after before only if they had no such character.

--- a/teaselworks/src/platform/store.rs
+++ b/teaselworks/src/platform/store.rs
@@ -12,9 +12,9 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use serde_json::value::RawValue;
 use tokio::time::Instant;
 
 use super::wire;
@@ -98,27 +98,19 @@
     }
 }
 
-/// An item or a change, as the store sends it.
+/// An item or a change, as the store sends it. Another program may have written any key and value: they
+/// are decoded one by one, so that one which cannot be decoded hides no other item.
 #[derive(Deserialize)]
 struct WireItem {
-    key: Arc<str>,
+    key: Box<RawValue>,
     #[serde(default)]
-    value: Option<WireValue>,
+    value: Option<Box<RawValue>>,
     #[serde(deserialize_with = "wire::saturating_u64")]
     revision: u64,
     #[serde(default)]
     deleted: bool,
 }
 
-/// Value as the store returns it: base64 text, or another JSON value that some other program wrote
-/// and that cannot be decoded.
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum WireValue {
-    Text(String),
-    Other(IgnoredAny),
-}
-
 /// One page of a `/kv-range` response.
 #[derive(Deserialize)]
 struct WireRange {
@@ -187,13 +179,14 @@
             // page sees what changes between them.
             let snapshot_so_far =
                 snapshot.get_or_insert(Snapshot { revision: range.at, items: Vec::new() });
-            for item in range.items {
-                last_key = item.key.to_string();
-                snapshot_so_far.items.push(item.into_item());
-            }
+            let next_page_after = range.items.iter().filter_map(WireItem::decoded_key).next_back();
+            snapshot_so_far.items.extend(range.items.into_iter().map(WireItem::into_item));
             if !range.has_more {
                 return Ok(snapshot.unwrap_or_default());
             }
+            last_key = next_page_after
+                .filter(|key| *key != last_key)
+                .ok_or_else(|| StoreError::Malformed("page without a further key".to_owned()))?;
         }
     }
 
@@ -385,17 +378,27 @@
 }
 
 impl WireItem {
+    /// Returns the key; `None` if it is not Unicode text.
+    fn decoded_key(&self) -> Option<String> {
+        serde_json::from_str(self.key.get()).ok()
+    }
+
+    /// Returns the key. The JSON text stands in for a key that is not Unicode text, which no router uses.
+    fn item_key(&self) -> Arc<str> {
+        self.decoded_key().unwrap_or_else(|| self.key.get().to_owned()).into()
+    }
+
     fn into_item(self) -> Item {
-        let value = match self.value {
-            Some(WireValue::Text(text)) => STANDARD.decode(&text).ok().map(Bytes::from),
-            Some(WireValue::Other(_)) | None => None,
-        };
-        Item { key: self.key, value, revision: self.revision }
+        let key = self.item_key();
+        let text: Option<String> =
+            self.value.and_then(|value| serde_json::from_str(value.get()).ok());
+        let value = text.and_then(|text| STANDARD.decode(&text).ok()).map(Bytes::from);
+        Item { key, value, revision: self.revision }
     }
 
     fn into_change(self) -> ItemChange {
         if self.deleted {
-            return ItemChange::Deleted { key: self.key, revision: self.revision };
+            return ItemChange::Deleted { key: self.item_key(), revision: self.revision };
         }
         ItemChange::Written(self.into_item())
     }
--- a/teaselworks_standin/src/store/mod.rs
+++ b/teaselworks_standin/src/store/mod.rs
@@ -335,7 +335,7 @@
 impl Query {
     fn parse(text: &str) -> Self {
         let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
-        Self(pairs.map(|(name, value)| (name.into(), value.replace("%2F", "/"))).collect())
+        Self(pairs.map(|(name, value)| (name.into(), percent_decode(value))).collect())
     }
 
     /// Returns a parameter, or an empty string if it is missing.
@@ -348,3 +348,15 @@
         self.get(name).parse().unwrap_or_default()
     }
 }
+
+/// Decodes a value of a query.
+fn percent_decode(text: &str) -> String {
+    let mut parts = text.split('%');
+    let mut bytes = parts.next().unwrap_or_default().as_bytes().to_vec();
+    for part in parts {
+        let (code, rest) = part.split_at_checked(2).unwrap_or((part, ""));
+        bytes.push(u8::from_str_radix(code, 16).unwrap_or_default());
+        bytes.extend_from_slice(rest.as_bytes());
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
