A stop counts from when its signal may have been sent

What callers saw: a process that does not run for a second when SIGTERM comes begins long streams up to 3.95 s after the signal, and is killed half way through them, 8 s after it, without the exit that it had planned for 8.75 s. Requests whose answer had not begun got no status either. Cause: a stop began when the process handled its signal. Late signals had a margin of 50 ms at the limit of three seconds, and none but that of 250 ms at the exit. Evidence: `stop_late::a_router_that_handles_the_signal_late_cuts_no_late_stream` (SIGSTOP, SIGTERM, SIGCONT a second later, long streams from 3.05 s on, SIGKILL at 8 s) failed on: "begun and cut", status 200; it passes now. Change: the event loop records when it returns from waiting (`Wakeups`). A signal that it handles now was sent after the time before the last. The limit for uncertain answers is earlier by that delay, and so is the exit as far as its margin does not cover it. `stop_requested` states the delay (`max_signal_delay_ms`).

--- a/teaselworks/src/daemon/serve.rs
+++ b/teaselworks/src/daemon/serve.rs
@@ -18,7 +18,7 @@
     StateUpdater, StoreWatcher,
 };
 use crate::event;
-use crate::kernel::{ServiceRegistry, Shutdown, ShutdownPhase};
+use crate::kernel::{ServiceRegistry, Shutdown, ShutdownPhase, Wakeups};
 use crate::net;
 use crate::peers;
 use crate::platform::Store;
@@ -40,7 +40,7 @@
 }
 
 /// Runs a router until a planned stop has ended; reloads the settings from `path` on each SIGHUP and
-/// on changes of the file.
+/// on changes of the file. `wakeups` are those of the event loop that runs it.
 ///
 /// Fails if a listen address cannot be bound, a signal handler cannot be installed, or a service
 /// cannot be registered or found.
@@ -48,6 +48,7 @@
     path: PathBuf,
     settings: Settings,
     reload_signal: ReloadSignal,
+    wakeups: &Wakeups,
 ) -> Result<(), StartError> {
     let shutdown = Shutdown::new();
     let registry = register(&settings, &shutdown)?;
@@ -71,7 +72,7 @@
         signalled = stop::wait_for_signal() => signalled?,
         () = reload_task => {}
     }
-    stop::run(&shared, grace, in_progress).await;
+    stop::run(&shared, grace, wakeups.max_event_delay(), in_progress).await;
     Ok(())
 }
 
--- a/teaselworks/src/daemon/stop.rs
+++ b/teaselworks/src/daemon/stop.rs
@@ -24,15 +24,23 @@
     Ok(())
 }
 
-/// Runs a planned stop to its end.
+/// Runs a planned stop to its end. Its signal was sent up to `signal_delay` ago.
 ///
 /// `in_progress` counts the connections that must not be cut. Idle ones are closed in the draining
 /// phase; the stop ends when none is left, or shortly before `grace` has passed. Requests whose answer
 /// has not begun by then get a final answer of the router just before.
-pub(super) async fn run(shared: &Shared, grace: Duration, in_progress: impl Fn() -> usize) {
-    let plan = StopPlan::new(grace);
+pub(super) async fn run(
+    shared: &Shared,
+    grace: Duration,
+    signal_delay: Duration,
+    in_progress: impl Fn() -> usize,
+) {
+    let plan = StopPlan::new(grace).with_signal_delay(signal_delay);
     let started = shared.now();
-    event::STOP_REQUESTED.log(&[event::number("grace_ms", grace.as_millis() as u64)]);
+    event::STOP_REQUESTED.log(&[
+        event::number("grace_ms", grace.as_millis() as u64),
+        event::number("max_signal_delay_ms", signal_delay.as_millis() as u64),
+    ]);
     shared.begin_stop(plan);
     loop {
         let elapsed = shared.now().saturating_sub(started);
--- a/teaselworks/src/event/catalogue.rs
+++ b/teaselworks/src/event/catalogue.rs
@@ -21,7 +21,7 @@
 catalogue! {
     // 0-99: the process.
     ROUTER_STARTED = 1 Info "router_started" "The router listens on all its ports.";
-    STOP_REQUESTED = 2 Info "stop_requested" "A planned stop began: the router reports that it is not ready, asks callers to reconnect, and refuses requests that it could not finish in time.";
+    STOP_REQUESTED = 2 Info "stop_requested" "A planned stop began: the router reports that it is not ready, asks callers to reconnect, and refuses requests that it could not finish in time. The fields give the grace period and the longest time since the signal may have been sent.";
     FINISHING = 3 Info "finishing" "Idle connections are closed; the router exits when no request is in progress.";
     ROUTER_STOPPED = 4 Info "router_stopped" "The router stopped after a planned stop; requests still in progress at the end of the grace period were cut.";
     START_FAILED = 6 Error "start_failed" "The router could not start; the field `cause` names the error.";
--- a/teaselworks/tests/stop_late.rs
+++ b/teaselworks/tests/stop_late.rs
@@ -12,6 +12,7 @@
 use teaselworks_standin::configuration::{API_KEY, HOST};
 use teaselworks_standin::fleet::Fleet;
 use teaselworks_standin::upstream::{ReceivedRequest, Script, Step};
+use tokio::time::Instant;
 
 /// Time between the events of a stream that takes longer than a stop leaves late requests.
 const LONG_GAP: Duration = Duration::from_millis(100);
@@ -21,6 +22,12 @@
 const SHORT_STREAMS: usize = 1_200;
 /// Callers that send them.
 const CALLERS: usize = 30;
+/// Time for which a router does not run when it gets the signal to stop.
+const SIGNAL_DELAY: Duration = Duration::from_secs(1);
+/// Time after the signal from which streams may no longer be begun and cut.
+const LATE: Duration = Duration::from_millis(3_050);
+/// Time after the signal at which the platform kills the process.
+const GRACE: Duration = Duration::from_secs(8);
 
 /// Streams many events if the identifier of the request says so, and else a few at once.
 fn stream_by_id(req: &ReceivedRequest) -> Script {
@@ -107,6 +114,45 @@
     assert_eq!(stopped[0]["cut"], 0);
 }
 
+/// Guards against a late stream that is begun and cut, since a process that did not run for a while counts
+/// the stop from the time at which it handled the signal.
+#[tokio::test]
+async fn a_router_that_handles_the_signal_late_cuts_no_late_stream() {
+    let fleet = fleet(1).await;
+    for engine in &fleet.engines {
+        engine.set_behaviour(stream_by_id);
+    }
+    let address = fleet.routers[0].callers_address();
+    let signalled_at = Instant::now();
+    fleet.routers[0].signal(Signal::SIGSTOP).unwrap();
+    fleet.routers[0].signal(Signal::SIGTERM).unwrap();
+    tokio::time::sleep(SIGNAL_DELAY).await;
+    fleet.routers[0].signal(Signal::SIGCONT).unwrap();
+    tokio::time::sleep_until(signalled_at + LATE).await;
+    let streams = ["/chat/a", "/gloss/a"].map(|target| {
+        let id = format!("long{}", target.len());
+        tokio::spawn(call_for_stream(address, target, id))
+    });
+    tokio::time::sleep_until(signalled_at + GRACE).await;
+    // The process may have exited.
+    let _ = fleet.routers[0].signal(Signal::SIGKILL);
+    for stream in streams {
+        let reply = stream.await.unwrap();
+        let status = reply.as_ref().map(Reply::status).ok();
+        assert!(status.is_none_or(|status| status != 200), "begun and cut: {reply:?}");
+        assert!(reply.is_ok_and(|reply| reply.body.is_whole), "no answer");
+    }
+}
+
+/// Sends a request for a long stream.
+async fn call_for_stream(
+    address: SocketAddr,
+    target: &'static str,
+    id: String,
+) -> std::io::Result<Reply> {
+    call(address, &stream_request(target, &id, 400)).await
+}
+
 /// Guards against a request that is sent to a replica, and cut, though most of its time at a stopping
 /// router has passed before its body arrived.
 #[tokio::test]
--- a/teaselworks_model/src/stops.rs
+++ b/teaselworks_model/src/stops.rs
@@ -29,6 +29,8 @@
     BeginsUncertainAnswers,
     /// The size of requests is ignored.
     IgnoresSize,
+    /// Stops are counted from the time at which their signals are handled.
+    IgnoresSignalDelay,
 }
 
 /// Settings of a simulation of stops.
@@ -42,8 +44,10 @@
     pub gap: Duration,
     /// Time before the first stop.
     pub warm_up: Duration,
-    /// Time from the request to stop until a router starts again.
+    /// Time from the request to stop until a router is killed and starts again.
     pub grace: Duration,
+    /// Longest time after which a router handles the request to stop.
+    pub max_signal_delay: Duration,
     /// Requests in a second for each router.
     pub requests_per_s: f64,
     /// Share of the requests that take long and state it.
@@ -87,19 +91,23 @@
 struct Router {
     durations: RouteDurations,
     running: Vec<Running>,
-    /// When the process was requested to stop.
-    stopped_at: Option<Duration>,
+    /// The planned stop of the process, once it was requested.
+    stop: Option<Stop>,
     misses: u32,
 }
 
+/// A planned stop of a router.
+#[derive(Clone, Copy)]
+struct Stop {
+    requested_at: Duration,
+    /// When the router handles the signal.
+    handled_at: Duration,
+    plan: StopPlan,
+}
+
 impl Router {
     fn start() -> Self {
-        Self {
-            durations: RouteDurations::default(),
-            running: Vec::new(),
-            stopped_at: None,
-            misses: 0,
-        }
+        Self { durations: RouteDurations::default(), running: Vec::new(), stop: None, misses: 0 }
     }
 }
 
@@ -116,6 +124,7 @@
 ///     gap: second,
 ///     warm_up: 10 * second,
 ///     grace: 8 * second,
+///     max_signal_delay: second / 2,
 ///     requests_per_s: 50.0,
 ///     long_share: 0.01,
 ///     unstated_share: 0.0,
@@ -130,21 +139,22 @@
     let mut routers: Vec<Router> = (0..load.routers).map(|_| Router::start()).collect();
     let mut outcome = StopOutcome::default();
     let route: Arc<str> = "route".into();
-    let plan = StopPlan::new(load.grace);
     let end = load.warm_up + load.gap * load.stopped as u32 + 2 * load.grace;
     let mut now = Duration::ZERO;
     while now < end {
         for (number, router) in routers.iter_mut().enumerate().take(load.stopped) {
-            if router.stopped_at.is_none() && now == load.warm_up + load.gap * number as u32 {
-                router.stopped_at = Some(now);
+            if router.stop.is_none() && now == load.warm_up + load.gap * number as u32 {
+                router.stop = Some(request_stop(load, now, &mut random));
             }
-            if router.stopped_at.is_some_and(|stopped_at| now >= stopped_at + load.grace) {
+            if router.stop.is_some_and(|stop| now >= stop.requested_at + load.grace) {
+                cut(router, true, &mut outcome);
                 *router = Router::start();
             }
         }
         if now.as_millis().is_multiple_of(CHECK_INTERVAL.as_millis()) {
             for router in &mut routers {
-                router.misses = if router.stopped_at.is_some() { router.misses + 1 } else { 0 };
+                let is_stopping = router.stop.is_some_and(|stop| now >= stop.handled_at);
+                router.misses = if is_stopping { router.misses + 1 } else { 0 };
             }
         }
         let in_rotation: Vec<usize> =
@@ -155,20 +165,31 @@
         let count = expected as u32 + u32::from(random.random_bool(expected.fract()));
         for _ in 0..count {
             let number = targets[random.random_range(0..targets.len())];
-            arrive(load, &plan, &route, &mut routers[number], now, &mut random, &mut outcome);
+            arrive(load, &route, &mut routers[number], now, &mut random, &mut outcome);
         }
         for router in &mut routers {
-            finish(&plan, &route, router, now, &mut outcome);
+            finish(&route, router, now, &mut outcome);
         }
         now += TICK;
     }
     outcome
 }
 
+/// Requests a router to stop.
+fn request_stop(load: &StopLoad, now: Duration, random: &mut Pcg32) -> Stop {
+    let delay = load.max_signal_delay.mul_f64(random.random_range(0.0..=1.0));
+    let known_delay = if load.bug == Some(StopBug::IgnoresSignalDelay) {
+        Duration::ZERO
+    } else {
+        load.max_signal_delay
+    };
+    let plan = StopPlan::new(load.grace).with_signal_delay(known_delay);
+    Stop { requested_at: now, handled_at: now + delay, plan }
+}
+
 /// Sends one request to a router.
 fn arrive(
     load: &StopLoad,
-    plan: &StopPlan,
     route: &Arc<str>,
     router: &mut Router,
     now: Duration,
@@ -187,7 +208,7 @@
     let time = if is_short { load.short_time } else { load.long_time };
     let time = time.mul_f64(random.random_range(0.8..1.2));
     let mut acceptance = Acceptance::Unchanged;
-    if let Some(stopped_at) = router.stopped_at {
+    if let Some(stop) = router.stop.filter(|stop| now >= stop.handled_at) {
         let arrival = Arrival {
             remaining: DEADLINE,
             duration_estimate: router.durations.duration_estimate(now, route, size),
@@ -197,7 +218,7 @@
             is_idempotent: false,
             stream_patience: Some(PATIENCE),
         };
-        match plan.admit(now - stopped_at, &arrival, random) {
+        match stop.plan.admit(now - stop.handled_at, &arrival, random) {
             Ok(accepted) => acceptance = accepted,
             Err(_) if is_short => {
                 outcome.short_refused += 1;
@@ -216,36 +237,35 @@
 }
 
 /// Ends the requests of a router that are due, and all of them when its process exits.
-fn finish(
-    plan: &StopPlan,
-    route: &Arc<str>,
-    router: &mut Router,
-    now: Duration,
-    outcome: &mut StopOutcome,
-) {
-    let Router { durations, running, stopped_at, .. } = router;
+fn finish(route: &Arc<str>, router: &mut Router, now: Duration, outcome: &mut StopOutcome) {
+    let Router { durations, running, stop, .. } = router;
     running.retain(|request| {
         if request.ends_at > now {
             return true;
         }
         durations.observe(now, route, request.size, now - request.began_at);
-        let is_stopping = stopped_at.is_some_and(|stopped_at| request.began_at > stopped_at);
+        let is_stopping = stop.is_some_and(|stop| request.began_at > stop.handled_at);
         outcome.short_answered += u64::from(request.is_short && is_stopping);
         false
     });
-    let Some(stopped_at) = *stopped_at else { return };
-    let since_stop = now - stopped_at;
+    let Some(stop) = stop.filter(|stop| now >= stop.handled_at) else { return };
     // As if one request were always in progress: an idle router would exit sooner.
-    if plan.phase(since_stop, 1) != Phase::Ended {
-        return;
+    if stop.plan.phase(now - stop.handled_at, 1) == Phase::Ended {
+        cut(router, false, outcome);
     }
-    for request in running.drain(..) {
-        match request.acceptance {
-            Acceptance::WholeAnswerOnly => outcome.given_up += 1,
-            Acceptance::Unchanged if request.began_at > stopped_at + UNCERTAIN_TIME => {
-                outcome.cut_late += 1;
-            }
-            Acceptance::Unchanged => outcome.cut_early += 1,
+}
+
+/// Counts the requests in progress at a router whose process exits or is killed.
+fn cut(router: &mut Router, is_killed: bool, outcome: &mut StopOutcome) {
+    let Some(stop) = router.stop else { return };
+    for request in router.running.drain(..) {
+        let is_given_up = request.acceptance == Acceptance::WholeAnswerOnly && !is_killed;
+        if is_given_up {
+            outcome.given_up += 1;
+        } else if request.began_at > stop.requested_at + UNCERTAIN_TIME {
+            outcome.cut_late += 1;
+        } else {
+            outcome.cut_early += 1;
         }
     }
 }
--- a/teaselworks_policy/src/stop.rs
+++ b/teaselworks_policy/src/stop.rs
@@ -14,7 +14,7 @@
 const ACCEPTING_SHARE: f64 = 3.0 / 8.0;
 /// Longest time for which it does.
 const MAX_ACCEPTING: Duration = Duration::from_secs(3);
-/// Time by which the signal that begins a stop may be late.
+/// Time by which the signal that begins a stop may be late, beyond the delay that is known.
 const SIGNAL_MARGIN: Duration = Duration::from_millis(50);
 /// Time before the end of the grace period at which the process exits on its own, so that the last
 /// answers are sent before it is killed.
@@ -120,6 +120,30 @@
         }
     }
 
+    /// Returns the schedule for a stop whose signal was sent up to `delay` before the stop began.
+    ///
+    /// The platform counts from the signal: the times that must not be too late are earlier by the
+    /// delay, as far as they have no margin of their own for it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use teaselworks_policy::stop::{Phase, StopPlan};
+    ///
+    /// let plan = StopPlan::new(Duration::from_secs(8)).with_signal_delay(Duration::from_secs(1));
+    /// assert_eq!(plan.phase(Duration::from_secs(6), 3), Phase::Finishing);
+    /// assert_eq!(plan.phase(Duration::from_secs(7), 3), Phase::Ended);
+    /// ```
+    pub fn with_signal_delay(self, delay: Duration) -> Self {
+        let unexpected = delay.saturating_sub(EXIT_MARGIN - CLOSING_MARGIN);
+        let exit_at = self.exit_at.saturating_sub(unexpected);
+        Self {
+            accepting_until: self.accepting_until,
+            typical_until: self.typical_until.saturating_sub(delay),
+            closing_at: exit_at.saturating_sub(CLOSING_MARGIN),
+            exit_at,
+        }
+    }
+
     /// Admits a request that arrives at the time `since_stop` after the beginning of the stop if it
     /// is expected to end before the process exits.
     ///
@@ -192,7 +216,7 @@
     /// Returns the phase at the time `since_stop` after the beginning of the stop, with
     /// `in_progress` requests in progress.
     pub fn phase(&self, since_stop: Duration, in_progress: usize) -> Phase {
-        if since_stop < self.accepting_until {
+        if since_stop < self.accepting_until.min(self.closing_at) {
             return Phase::Accepting;
         }
         if since_stop >= self.exit_at || in_progress == 0 {
--- a/teaselworks_policy/tests/stop.rs
+++ b/teaselworks_policy/tests/stop.rs
@@ -113,6 +113,25 @@
     assert!(plan.admit(SECOND * 31 / 10, &unknown, &mut random).is_err());
 }
 
+/// Guards against a late stream that is begun, or cut by the kill, since the process handled the signal
+/// long after it was sent.
+#[test]
+fn a_known_signal_delay_counts_as_part_of_the_stop() {
+    let mut random = Pcg32::seed_from_u64(1);
+    let stream = arrival(3 * SECOND, false);
+    for delay_ms in [60, 200, 500, 1_000, 5_000] {
+        let delay = Duration::from_millis(delay_ms);
+        let plan = StopPlan::new(8 * SECOND).with_signal_delay(delay);
+        let since_handled = |since_signal: Duration| since_signal.saturating_sub(delay);
+        let late = plan.admit(since_handled(3 * SECOND), &stream, &mut random);
+        assert_ne!(late, Ok(Acceptance::Unchanged), "{delay:?}");
+        assert_eq!(plan.phase(since_handled(8 * SECOND), 1), Phase::Ended, "{delay:?}");
+        let has_closed = (0..800)
+            .any(|step| plan.phase(since_handled(SECOND * step / 100), 1) == Phase::Closing);
+        assert!(has_closed, "{delay:?}");
+    }
+}
+
 proptest! {
     /// Guards against accepting a request that will be cut off, and against refusing one that would
     /// end in time.
