Numbers of slots that other writers leave do not overflow

What callers would see: two entries of a service whose slots sum up to more than 2^32 (another writer's number that is too large becomes the largest one) left the service with the capacity of what is over: requests were refused as if the others had no slots. A build with overflow checks ended while it held the state of the fleet. Cause: slots were added as `u32` in `Pool::capacity_slots` and `Pool::on_first_byte`. Change: slots are added as floating-point numbers, as they are used afterwards. `Scan` saturated already.

--- a/teaselworks_policy/src/upstream/pool.rs
+++ b/teaselworks_policy/src/upstream/pool.rs
@@ -199,13 +199,13 @@
     pub fn on_first_byte(&mut self, now: Duration, waited: Duration, routers: u32) {
         self.link.on_data(now);
         let Some(target_latency) = self.target_latency else { return };
-        let slots: u32 = self.usable(now).map(|member| member.upstream.slots).sum();
+        let slots: f64 = self.usable(now).map(|member| f64::from(member.upstream.slots)).sum();
         let requests_per_slot = if self.has_load_reports {
             MIN_REQUESTS_PER_SLOT
         } else {
             MIN_REQUESTS_PER_SLOT_WITHOUT_REPORTS
         };
-        let min_limit = requests_per_slot * f64::from(slots) / f64::from(routers.max(1));
+        let min_limit = requests_per_slot * slots / f64::from(routers.max(1));
         let in_progress = self.in_progress(now);
         self.concurrency_limit.observe(now, waited, target_latency, in_progress, min_limit);
     }
--- a/teaselworks_policy/src/upstream/pool/capacity.rs
+++ b/teaselworks_policy/src/upstream/pool/capacity.rs
@@ -40,13 +40,13 @@
         if let Some(known) = self.capacity.filter(is_recent) {
             return known.slots;
         }
-        let mut slots = 0;
+        let mut slots = 0.0;
         for member in self.usable(now) {
             let is_available = member.takes_requests() && member.remaining_rest(now).is_none();
             if !is_available || self.cold_remaining(now, member).is_some() {
                 continue;
             }
-            slots += member.upstream.slots;
+            slots += f64::from(member.upstream.slots);
         }
         let requests_per_slot = if self.is_brittle(now) {
             brittle_requests_per_slot(self.members.iter().any(|m| m.load.has_shared_report()))
@@ -55,7 +55,7 @@
         } else {
             PLANNED_REQUESTS_PER_SLOT_WITHOUT_REPORTS
         };
-        let slots = f64::from(slots) * requests_per_slot;
+        let slots = slots * requests_per_slot;
         self.capacity = Some(Capacity { slots, computed_at: now });
         slots
     }
--- a/teaselworks_policy/tests/concurrency.rs
+++ b/teaselworks_policy/tests/concurrency.rs
@@ -60,6 +60,19 @@
     assert!((5..=7).contains(&lowest_limit), "{lowest_limit}");
 }
 
+/// Guards against a sum of slots that overflows, which ended the router or left the service with next to
+/// no capacity: another writer may have left entries with any number of slots.
+#[test]
+fn entries_with_odd_numbers_of_slots_lower_no_limit() {
+    let mut pool = pool();
+    for (number, slots) in [u32::MAX, u32::MAX - 10].into_iter().enumerate() {
+        pool.put(Upstream { slots, ..Upstream::example(&format!("odd-{number}"), "plain") });
+        assert!(pool.capacity_slots(Duration::from_secs(10 * number as u64)) > f64::from(slots));
+    }
+    send_requests(&mut pool, 1..20, 30, Duration::from_millis(280));
+    assert_eq!(count_allowed_requests(&mut pool), 100);
+}
+
 /// Guards against a limit that stays low after the overload that lowered it has ended.
 #[test]
 fn answers_in_time_raise_the_limit_again() {
