Soak: routers that handle the signal to stop late, and entries of another writer

Change: in the phase of long streams a router may be stopped by a signal that it handles 0.3 s late. Each new version of the configuration is published beside odd entries, and a check asks whether it is in force at every router within two seconds. Each part has a simulated bug.

--- a/teaselworks_standin/src/soak/bounds.rs
+++ b/teaselworks_standin/src/soak/bounds.rs
@@ -24,6 +24,10 @@
 /// Time after the beginning of a stop up to which a router may take what it possibly cuts, as long as the
 /// replica is still at work in the last sixth of the grace period.
 pub(super) const UNCERTAIN_TIME: Duration = Duration::from_secs(3);
+/// Time for which a router does not run that handles the signal to stop late.
+pub(super) const SIGNAL_DELAY: Duration = Duration::from_millis(300);
+/// Time after which a new configuration is in force at every router.
+pub(super) const CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
 /// Time that a long stream takes.
 pub(super) const LONG_STREAM_TIME: Duration = Duration::from_secs(5);
 /// Maximum number of output tokens that requests for long streams state.
--- a/teaselworks_standin/src/soak/bug.rs
+++ b/teaselworks_standin/src/soak/bug.rs
@@ -48,6 +48,8 @@
     JoinedServices => "streams keep to one service",
     /// A router goes back to an older configuration.
     ConfigurationRollback => "no configuration rollback",
+    /// Routers no longer follow the store.
+    ConfigurationNotFollowed => "new configurations reach routers",
     /// A replica gets requests long after it was listed as draining.
     RequestsAfterDrain => "no new requests to draining replicas",
     /// Requests are retried without limit.
@@ -58,6 +60,8 @@
     CutByStop => "no request cut by a planned stop",
     /// A planned stop cuts long streams that it was sent late.
     LateStreamCutByStop => "no request cut by a planned stop",
+    /// Routers count a stop from the time at which they handle its signal.
+    SignalDelayIgnored => "no request cut by a planned stop",
     /// A stream is cut because its replica pauses.
     CutByPause => "no request given up for a pause",
     /// A router process exits although no fault ended it.
--- a/teaselworks_standin/src/soak/checks.rs
+++ b/teaselworks_standin/src/soak/checks.rs
@@ -6,8 +6,8 @@
 use teaselworks_policy::retry::BudgetSettings;
 
 use super::bounds::{
-    DRAINING_BOUND, PROXY_LATENCY, RECOVERY_TIME, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW,
-    STOP_GRACE, UNCERTAIN_TIME,
+    CONFIGURATION_BOUND, DRAINING_BOUND, PROXY_LATENCY, RECOVERY_TIME, RETRY_RATIO, RETRY_SLACK,
+    RETRY_WINDOW, SIGNAL_DELAY, STOP_GRACE, UNCERTAIN_TIME,
 };
 use super::bug::Bug;
 use super::callers::has_reached_deadline;
@@ -29,6 +29,7 @@
     check_runs(&observations, &mut violations);
     check_responses(&observations, &mut violations);
     check_rollbacks(&observations, &mut violations);
+    check_versions(&observations, &mut violations);
     check_drains(&observations, recorder.simulated_bug, &mut violations);
     check_retries(&observations, &mut violations);
     check_planned_stops(&observations, recorder.simulated_bug, &mut violations);
@@ -111,6 +112,24 @@
     }
 }
 
+/// Checks that each version of the configuration is in force at every router in time, unless an unplanned
+/// fault could have kept it away.
+fn check_versions(observations: &Observations, violations: &mut Vec<Violation>) {
+    for probe in observations.version_probes.iter().filter(|probe| !probe.is_known) {
+        let Some((_, at)) = observations.published.iter().find(|(v, _)| *v == probe.version) else {
+            continue;
+        };
+        let is_late = probe.sent_at > *at + CONFIGURATION_BOUND + PROXY_LATENCY;
+        if is_late && is_undisturbed(observations, *at, probe.sent_at) {
+            let details = format!(
+                "router-{} lacked version {} at {:?}, published at {at:?}",
+                probe.router, probe.version, probe.sent_at
+            );
+            violations.push(Violation::new("new configurations reach routers", details));
+        }
+    }
+}
+
 /// Checks that a draining replica gets no requests after the draining bound, unless an unplanned
 /// fault could have kept routers from learning that it drains.
 fn check_drains(observations: &Observations, bug: Option<Bug>, violations: &mut Vec<Violation>) {
@@ -215,7 +234,12 @@
             let is_late = request.sent_at > stop.from + UNCERTAIN_TIME;
             // The replica was still at work in the last sixth of the grace period.
             let is_allowed = !is_late && request.ended_at >= stop.from + STOP_GRACE * 5 / 6;
-            let is_simulated = bug == Some(Bug::LateStreamCutByStop) && is_late;
+            let since_uncertain = request.sent_at.saturating_sub(stop.from + UNCERTAIN_TIME);
+            let is_simulated = match bug {
+                Some(Bug::LateStreamCutByStop) => is_late,
+                Some(Bug::SignalDelayIgnored) => is_late && since_uncertain < SIGNAL_DELAY,
+                _ => false,
+            };
             let is_cut = is_simulated || is_cut && !is_allowed && !has_reached_deadline(request);
             let is_cut_by_stop = is_cut && !is_broken_off_by_replica(observations, request);
             let is_calm = is_undisturbed(observations, from, request.ended_at);
--- a/teaselworks_standin/src/soak/fault.rs
+++ b/teaselworks_standin/src/soak/fault.rs
@@ -91,7 +91,7 @@
         None | Some(Bug::RefusalsByCutRouter) => Phase::Cuts,
         Some(Bug::BudgetOfEachRouter | Bug::RequestsGoOn) => Phase::Retries,
         Some(Bug::CrashesGoOn) => Phase::Crashes,
-        Some(Bug::LateStreamCutByStop | Bug::CutByPause) => Phase::Pauses,
+        Some(Bug::LateStreamCutByStop | Bug::SignalDelayIgnored | Bug::CutByPause) => Phase::Pauses,
         Some(_) => Phase::PlannedOnly,
     };
     first_phase.start()
@@ -112,6 +112,8 @@
 pub(super) enum Fault {
     /// Planned: stops a router with SIGTERM and starts it again after the stop's grace period.
     StopRouter(usize),
+    /// Planned: stops a router as [`Fault::StopRouter`] does while it does not run for a moment.
+    StopSuspendedRouter(usize),
     /// Planned: makes a router reload with SIGHUP its settings.
     ReloadSettings(usize),
     /// Planned: publishes a new version of the configuration.
@@ -277,7 +279,8 @@
     pub(super) fn random_with_pauses(fleet: &SoakFleet, random: &mut Pcg32) -> Self {
         let replica = random.random_range(0..REPLICA_COUNT);
         match random.random_range(0..9) {
-            0..3 => Fault::StopRouter(random.random_range(0..fleet.routers.len())),
+            0 => Fault::StopSuspendedRouter(random.random_range(0..fleet.routers.len())),
+            1 | 2 => Fault::StopRouter(random.random_range(0..fleet.routers.len())),
             3..7 => Fault::PauseReplica(replica),
             7 => Fault::ReplaceReplica(replica, true),
             _ => Fault::RestReplica(replica),
@@ -295,10 +298,19 @@
         if random.random() { Fault::CrashingPart } else { Self::random_crashing_request(random) }
     }
 
+    /// Returns the router that a planned stop ends.
+    pub(super) fn stopped_router(self) -> Option<usize> {
+        match self {
+            Fault::StopRouter(router) | Fault::StopSuspendedRouter(router) => Some(router),
+            _ => None,
+        }
+    }
+
     pub(super) fn is_planned(self) -> bool {
         matches!(
             self,
             Fault::StopRouter(_)
+                | Fault::StopSuspendedRouter(_)
                 | Fault::ReloadSettings(_)
                 | Fault::PublishConfiguration
                 | Fault::SplitRoute(_)
@@ -316,6 +328,7 @@
     pub(super) fn target(self) -> String {
         match self {
             Fault::StopRouter(router)
+            | Fault::StopSuspendedRouter(router)
             | Fault::ReloadSettings(router)
             | Fault::KillRouter(router)
             | Fault::StartLate(router)
@@ -349,7 +362,7 @@
     /// Returns how long the fault lasts, drawn at random for some faults.
     pub(super) fn duration(self, random: &mut Pcg32) -> Duration {
         match self {
-            Fault::StopRouter(_) => STOP_GRACE,
+            Fault::StopRouter(_) | Fault::StopSuspendedRouter(_) => STOP_GRACE,
             Fault::ReplaceReplica(..) => DRAINING_BOUND + Duration::from_millis(1_500),
             Fault::Release(..) => {
                 DRAINING_BOUND + Duration::from_millis(random.random_range(200..1_500))
--- a/teaselworks_standin/src/soak/faults.rs
+++ b/teaselworks_standin/src/soak/faults.rs
@@ -12,6 +12,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg32;
 
+use super::bounds::SIGNAL_DELAY;
 use super::bug::Bug;
 use super::fault::{Fault, LOOP_INTERVAL, Link, Phase, router_target, skipped_time};
 use super::fleet::{SoakFleet, ZONES};
@@ -54,7 +55,7 @@
             active_faults.into_iter().partition(|active| is_over || active.until <= now);
         active_faults = remaining;
         for active in Vec::<ActiveFault>::into_iter(due) {
-            if let Fault::StopRouter(_) = active.fault {
+            if active.fault.stopped_router().is_some() {
                 // A router that was signalled to stop keeps its whole grace period, also when the
                 // injection of faults is over.
                 tokio::time::sleep(active.until.saturating_sub(recorder.now())).await;
@@ -104,9 +105,7 @@
             if !busy_targets.contains(&fault.target())
                 && can_begin(fault, &active_faults, recorder.simulated_bug)
             {
-                let stopped_router =
-                    if let Fault::StopRouter(router) = fault { Some(router) } else { None };
-                let span = recorder.begin_span(stopped_router, fault.is_planned());
+                let span = recorder.begin_span(fault.stopped_router(), fault.is_planned());
                 begin(fleet, recorder, fault).await?;
                 if let Fault::CutFromReplicas(first, count, _) = fault {
                     let routers = cut_routers(fleet, first, count);
@@ -233,6 +232,13 @@
 ) -> Result<(), Box<dyn Error>> {
     match fault {
         Fault::StopRouter(router) => fleet.routers[router].process.signal(Signal::SIGTERM)?,
+        Fault::StopSuspendedRouter(router) => {
+            let process = &fleet.routers[router].process;
+            process.signal(Signal::SIGSTOP)?;
+            process.signal(Signal::SIGTERM)?;
+            tokio::time::sleep(SIGNAL_DELAY).await;
+            process.signal(Signal::SIGCONT)?;
+        }
         Fault::ReloadSettings(router) => fleet.routers[router].process.signal(Signal::SIGHUP)?,
         Fault::KillRouter(router) | Fault::StartLate(router) => {
             fleet.routers[router].process.signal(Signal::SIGKILL)?;
@@ -315,7 +321,10 @@
     fault: Fault,
 ) -> Result<(), Box<dyn Error>> {
     match fault {
-        Fault::StopRouter(router) | Fault::KillRouter(router) | Fault::StartLate(router) => {
+        Fault::StopRouter(router)
+        | Fault::StopSuspendedRouter(router)
+        | Fault::KillRouter(router)
+        | Fault::StartLate(router) => {
             let router = &mut fleet.routers[router];
             // Like the platform, kills a router that still runs after its grace period.
             router.process.signal(Signal::SIGKILL)?;
--- a/teaselworks_standin/src/soak/fleet.rs
+++ b/teaselworks_standin/src/soak/fleet.rs
@@ -37,6 +37,9 @@
 const VERSIONS: [&str; REPLICAS_PER_SERVICE] = ["v1", "v2", "v1"];
 /// Availability zones of the replicas.
 pub(super) const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Levels of odd values that are nested.
+const ODD_LEVELS: usize = 20_000;
+
 /// A router process, and the proxies between it and the store and the replicas.
 pub(super) struct SoakRouter {
     pub(super) process: Router,
@@ -130,14 +133,23 @@
         Ok(fleet)
     }
 
-    /// Publishes the next version of the configuration. It adds a route of its own, by which probes
-    /// find out whether a router has this version.
+    /// Publishes the next version of the configuration, beside entries of another writer. It adds a
+    /// route of its own, by which probes find out whether a router has this version.
     pub(super) fn publish_next_version(&mut self) {
         self.configuration.next_version();
         let version = self.configuration.value["version"].as_u64().unwrap_or_default();
         self.configuration.add_route(&version_route_prefix(version), "safe", ARCHIVE_SERVICE, 2);
-        self.store.put_json("op/config", &self.configuration.value);
+        for (number, value) in odd_values().iter().enumerate() {
+            self.store.put(&format!("servers/odd-{number}"), value);
+            self.store.put(&format!("routers/odd-{number}"), value);
+        }
+        // To simulate the bug, no version is written once routers run.
+        let is_written = self.recorder.simulated_bug != Some(Bug::ConfigurationNotFollowed);
+        if is_written || self.routers.is_empty() {
+            self.store.put_json("op/config", &self.configuration.value);
+        }
         self.newest_version.store(version, Ordering::Relaxed);
+        self.recorder.observations().published.push((version, self.recorder.now()));
     }
 
     /// Publishes a version of the configuration that sends a share of the resumable route, in
@@ -300,6 +312,13 @@
     }
 }
 
+/// Returns values that no replica or router writes.
+fn odd_values() -> [Vec<u8>; 4] {
+    let nested = "[".repeat(ODD_LEVELS).into_bytes();
+    let number = br#"{"service":"odd","address":"127.0.0.1:65536","slots":1e999}"#.to_vec();
+    [nested, vec![0x81; ODD_LEVELS], number, b"\xff\xfe".to_vec()]
+}
+
 /// Returns the path prefix of the route that a version of the configuration adds.
 pub(super) fn version_route_prefix(version: u64) -> String {
     format!("/version-{version}/")
--- a/teaselworks_standin/src/soak/record.rs
+++ b/teaselworks_standin/src/soak/record.rs
@@ -201,6 +201,8 @@
     pub(super) arrivals: Vec<Arrival>,
     pub(super) requests: Vec<RequestRecord>,
     pub(super) version_probes: Vec<VersionProbe>,
+    /// Versions of the configuration, each with the time at which it was published.
+    pub(super) published: Vec<(u64, Duration)>,
     pub(super) fault_spans: Vec<FaultSpan>,
     /// Replicas that were listed as draining, and when the store took the entry.
     pub(super) draining_since: Vec<(String, Duration)>,
