A router that exits serves what has connected to it

What callers saw: a reset in place of an answer, for a request whose connection had been opened when a stopping router found that it had nothing in progress. Cause: the exit closed the listening socket, and with it the connections that the kernel had taken for it and the ones that had been accepted without being read. Evidence: `stop_late::requests_that_wait_to_be_accepted_at_the_exit_get_an_answer` failed on the commit before with "Connection reset by peer"; it passes now. Change: before it exits, a router takes what waits at its port, closes the port so that callers are refused and go elsewhere, and serves what it took. The phase `Leaving` comes before `Closing`, which it is part of; both last for one check of the progress at least. Not changed: the port for other routers. A request that is forwarded there at the exit may still be reset.

--- a/teaselworks/src/daemon/stop.rs
+++ b/teaselworks/src/daemon/stop.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use teaselworks_policy::stop::{CLOSING_MARGIN, Phase, StopPlan};
+use teaselworks_policy::stop::{Phase, StopPlan};
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::StartError;
@@ -53,12 +53,14 @@
             Phase::Finishing => {}
             Phase::Closing => shared.shutdown.advance(ShutdownPhase::Closing),
             Phase::Ended => {
-                // A process that did not run meanwhile, or checked late, has passed over the phase.
-                if in_progress() > 0 && shared.shutdown.phase() < ShutdownPhase::Closing {
-                    shared.shutdown.advance(ShutdownPhase::Closing);
-                    tokio::time::sleep(CLOSING_MARGIN).await;
+                // What has connected is served. A process that did not run meanwhile, or checked late,
+                // has passed over the closing phase.
+                let is_idle = in_progress() == 0;
+                let last = if is_idle { ShutdownPhase::Leaving } else { ShutdownPhase::Closing };
+                if shared.shutdown.phase() >= last {
+                    break;
                 }
-                break;
+                shared.shutdown.advance(last);
             }
         }
         tokio::time::sleep(PROGRESS_CHECK_INTERVAL).await;
--- a/teaselworks/src/kernel/shutdown.rs
+++ b/teaselworks/src/kernel/shutdown.rs
@@ -14,6 +14,8 @@
     Announced,
     /// Idle connections are closed, and requests in progress finish.
     Draining,
+    /// No new connections are accepted. What has connected before is still served.
+    Leaving,
     /// Requests whose answer has not begun get a final answer.
     Closing,
     /// The process exits.
--- a/teaselworks/src/net.rs
+++ b/teaselworks/src/net.rs
@@ -90,6 +90,17 @@
     }
 }
 
+/// Closes a listener and returns the connections that wait to be accepted, which it would reset.
+pub fn accept_waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    let Ok(listener) = listener.into_std() else { return streams };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        streams.extend(stream.and_then(|s| enable_dead_peer_detection(&s).map(|()| s)));
+    }
+    streams
+}
+
 /// Listens for TCP connections on an address, which may still be in use by closed connections of an
 /// earlier process.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
--- a/teaselworks/src/relay/caller.rs
+++ b/teaselworks/src/relay/caller.rs
@@ -1,9 +1,10 @@
 //! Accepts the connections of callers and limits how many are open at once.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use super::Shared;
 use super::caller_connection::CallerConnection;
@@ -44,27 +45,40 @@
         self.open.clone()
     }
 
-    /// Accepts and serves connections until the process ends.
+    /// Accepts and serves connections until the process is about to exit.
     ///
     /// While the maximum number of connections is open, new ones wait in the listen queue.
     pub async fn run(self, listener: TcpListener) {
+        let shutdown = self.shared.shutdown.clone();
+        let mut leaving = pin!(shutdown.reached(ShutdownPhase::Leaving));
         loop {
             while self.open.count() >= self.max_connections {
                 tokio::time::sleep(MAX_CONNECTIONS_POLL_INTERVAL).await;
             }
-            let stream = net::accept(&listener).await;
-            let shared = self.shared.clone();
-            let counter = ConnectionCounter::new(&self.open, self.max_connections);
-            // A stopping router waits for the counted connections. One that is accepted while it
-            // drains is therefore counted only once it sends a request.
-            if shared.shutdown.phase() < ShutdownPhase::Draining {
-                counter.count_connection();
+            tokio::select! {
+                biased;
+                stream = net::accept(&listener) => self.serve(stream),
+                () = leaving.as_mut() => break,
             }
-            tokio::spawn(async move {
-                // The error is ignored: a caller that disconnects during a request is logged with
-                // that request.
-                let _ = CallerConnection::new(shared, counter).run(stream).await;
-            });
         }
+        for stream in net::accept_waiting(listener) {
+            self.serve(stream);
+        }
+    }
+
+    /// Serves a connection in a task of its own.
+    fn serve(&self, stream: TcpStream) {
+        let shared = self.shared.clone();
+        let counter = ConnectionCounter::new(&self.open, self.max_connections);
+        // A stopping router waits for the counted connections. One that is accepted while it
+        // drains is therefore counted only once it sends a request.
+        if shared.shutdown.phase() < ShutdownPhase::Draining {
+            counter.count_connection();
+        }
+        tokio::spawn(async move {
+            // The error is ignored: a caller that disconnects during a request is logged with
+            // that request.
+            let _ = CallerConnection::new(shared, counter).run(stream).await;
+        });
     }
 }
--- a/teaselworks/tests/stop_late.rs
+++ b/teaselworks/tests/stop_late.rs
@@ -29,6 +29,8 @@
 const LATE: Duration = Duration::from_millis(3_050);
 /// Time after the signal at which a router is stopped that is late for its exit.
 const BEFORE_EXIT: Duration = Duration::from_millis(7_500);
+/// Time after the signal at which an idle router is stopped that is about to exit.
+const BEFORE_IDLE_EXIT: Duration = Duration::from_millis(2_800);
 /// Time for which it does not run. The platform kills it only later.
 const EXIT_DELAY: Duration = Duration::from_millis(350);
 /// Time after the signal at which the platform kills the process.
@@ -217,7 +219,36 @@
     assert_answered(fleet, replies).await;
 }
 
-/// Guards against the same at a router that does not run, or checks too late, when it was to answer them.
+/// Guards against a reset in place of an answer for requests that have connected when an idle router
+/// exits.
+#[tokio::test]
+async fn requests_that_wait_to_be_accepted_at_the_exit_get_an_answer() {
+    let mut fleet = fleet(1).await;
+    let address = fleet.routers[0].callers_address();
+    fleet.routers[0].signal(Signal::SIGTERM).unwrap();
+    fleet.routers[0].wait_for_events("stop_requested", 1).await.unwrap();
+    tokio::time::sleep(BEFORE_IDLE_EXIT).await;
+    fleet.routers[0].signal(Signal::SIGSTOP).unwrap();
+    let waiting: Vec<_> = (0..CALLERS)
+        .map(|number| {
+            let sent = request("GET", "/read/a", &format!("waiting-{number}"));
+            tokio::spawn(async move { call(address, &sent).await })
+        })
+        .collect();
+    tokio::time::sleep(EXIT_DELAY).await;
+    fleet.routers[0].signal(Signal::SIGCONT).unwrap();
+    for reply in join_all(waiting).await {
+        let reply = reply.unwrap();
+        let is_answered = reply
+            .as_ref()
+            .is_ok_and(|reply| [200, 503].contains(&reply.status()) && reply.body.is_whole);
+        assert!(is_answered, "{reply:?}");
+    }
+    assert!(fleet.routers[0].wait_for_exit().await.unwrap().success());
+}
+
+/// Guards against a closed connection in place of an answer at a router that does not run, or checks too
+/// late, when it was to answer what has no answer yet.
 #[tokio::test]
 async fn requests_without_an_answer_get_one_from_a_router_that_is_late_for_its_exit() {
     let (fleet, replies) = stop_with_silent_replicas().await;
--- a/teaselworks_policy/src/stop.rs
+++ b/teaselworks_policy/src/stop.rs
@@ -20,7 +20,7 @@
 /// answers are sent before it is killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
 /// Time before the exit at which the answers that have not begun are given up.
-pub const CLOSING_MARGIN: Duration = Duration::from_millis(50);
+const CLOSING_MARGIN: Duration = Duration::from_millis(50);
 
 /// Phase of a stop.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
