--- a/teaselworks/src/relay/write_gate.rs
+++ b/teaselworks/src/relay/write_gate.rs
@@ -45,17 +45,18 @@
 /// A failed write is not reported: it stays pending, and reading goes on. An upstream that rejects a
 /// request before it has read the whole body closes its connection, and the HTTP library would give
 /// the connection up on the failed write without reading the rejection. Once that is read, reading
-/// fails or ends, too.
+/// fails, too, unless the upstream had ended its side of the connection before the write failed.
 pub struct GatedStream {
     stream: YieldingStream,
     gate: Arc<WriteGate>,
-    has_write_failed: bool,
+    /// Why a write failed, if one did.
+    write_failure: Option<io::ErrorKind>,
 }
 
 impl GatedStream {
     /// Puts a stream behind a gate of its own, which counts only what is written from now on.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream: YieldingStream::new(stream), gate: Arc::default(), has_write_failed: false }
+        Self { stream: YieldingStream::new(stream), gate: Arc::default(), write_failure: None }
     }
 
     /// Returns the gate.
@@ -68,6 +69,15 @@
         self.stream.into_inner()
     }
 
+    /// Returns the error that a read would have reported in place of the end of the connection.
+    ///
+    /// The kernel reports the error of a connection once. If a write got it, reads end as if the peer
+    /// had closed the connection properly. A write to a connection that the peer did close properly
+    /// fails with a broken pipe, also if a reset followed.
+    fn hidden_error(&self) -> Option<io::ErrorKind> {
+        self.write_failure.filter(|kind| *kind != io::ErrorKind::BrokenPipe)
+    }
+
     /// Writes unless the gate is closed. A first write that the kernel accepts no byte of leaves the
     /// gate as it was.
     fn poll_gated(
@@ -75,7 +85,7 @@
         context: &mut Context<'_>,
         write: impl FnOnce(Pin<&mut YieldingStream>, &mut Context<'_>) -> Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
-        if self.has_write_failed {
+        if self.write_failure.is_some() {
             return Poll::Pending;
         }
         let state = &self.gate.0;
@@ -88,8 +98,8 @@
         if entered.is_ok() && !matches!(polled, Poll::Ready(Ok(1..))) {
             state.store(UNWRITTEN, Ordering::Release);
         }
-        if matches!(polled, Poll::Ready(Err(_))) {
-            self.has_write_failed = true;
+        if let Poll::Ready(Err(error)) = &polled {
+            self.write_failure = Some(error.kind());
             // What has arrived may have been announced before the write failed.
             context.waker().wake_by_ref();
             return Poll::Pending;
@@ -104,7 +114,15 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let filled_before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let is_end = matches!(polled, Poll::Ready(Ok(())))
+            && buffer.filled().len() == filled_before
+            && buffer.remaining() > 0;
+        match self.hidden_error() {
+            Some(kind) if is_end => Poll::Ready(Err(kind.into())),
+            _ => polled,
+        }
     }
 }
 
--- a/teaselworks/tests/write_gate.rs
+++ b/teaselworks/tests/write_gate.rs
@@ -47,3 +47,37 @@
     assert!(stream.write(b"GET").now_or_never().is_none());
     assert!(stream.gate().close());
 }
+
+/// Writes until that is pending: the connection has failed, which is not reported.
+fn write_until_failed(stream: &mut GatedStream) {
+    while stream.write(b"verse").now_or_never().is_some() {}
+}
+
+/// Guards against a reset that reads as the end of an answer, since a write got its error.
+#[tokio::test]
+async fn a_reset_that_a_write_met_is_not_the_end() {
+    let (mut stream, mut peer) = connect().await;
+    stream.write_all(b"POST").await.unwrap();
+    peer.write_all(b"part").await.unwrap();
+    peer.set_zero_linger().unwrap();
+    drop(peer);
+    write_until_failed(&mut stream);
+    let mut received = Vec::new();
+    assert!(stream.read_to_end(&mut received).await.is_err());
+    assert_eq!(received, b"part");
+}
+
+/// Guards against a whole answer that counts as broken, since its connection was reset after its end.
+#[tokio::test]
+async fn a_reset_after_the_end_leaves_the_end() {
+    let (mut stream, mut peer) = connect().await;
+    stream.write_all(b"POST").await.unwrap();
+    peer.write_all(b"whole").await.unwrap();
+    peer.shutdown().await.unwrap();
+    peer.set_zero_linger().unwrap();
+    drop(peer);
+    write_until_failed(&mut stream);
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).await.unwrap();
+    assert_eq!(received, b"whole");
+}
--- a/teaselworks_standin/src/lib.rs
+++ b/teaselworks_standin/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod configuration;
+pub mod early;
 pub mod endless;
 pub mod engine;
 pub mod fleet;
--- a/teaselworks_standin/src/message.rs
+++ b/teaselworks_standin/src/message.rs
@@ -157,7 +157,11 @@
     }
 
     /// Reads `length` bytes into `bytes`; `false` if the connection ends first.
-    async fn read_exact(&mut self, length: usize, bytes: &mut Vec<u8>) -> io::Result<bool> {
+    pub(crate) async fn read_exact(
+        &mut self,
+        length: usize,
+        bytes: &mut Vec<u8>,
+    ) -> io::Result<bool> {
         let mut remaining = length;
         loop {
             let count = remaining.min(self.buffer.len());
--- a/teaselworks_standin/src/upstream.rs
+++ b/teaselworks_standin/src/upstream.rs
@@ -11,6 +11,7 @@
 use tokio::net::tcp::WriteHalf;
 use tokio_util::sync::CancellationToken;
 
+use crate::early::{self, EarlyAnswer};
 use crate::endless::{EndlessResponse, EndlessResponses};
 use crate::message::{Head, MessageReader, ReceivedBody, StartLine};
 use crate::port::{PortGuard, reset_when_dropped};
@@ -191,10 +192,13 @@
 
 /// Chooses the response to a request.
 type Behaviour = dyn Fn(&ReceivedRequest) -> Script + Send + Sync;
+/// Chooses the answer to a request whose body was not read; `None` if it is read first.
+type EarlyBehaviour = dyn Fn(&Head) -> Option<EarlyAnswer> + Send + Sync;
 
 /// State shared by the tasks that serve connections.
 struct State {
     behaviour: Mutex<Arc<Behaviour>>,
+    early_behaviour: Mutex<Arc<EarlyBehaviour>>,
     received_requests: Mutex<Vec<ReceivedRequest>>,
     aborted_requests: Mutex<Vec<String>>,
     endless_responses: EndlessResponses,
@@ -204,6 +208,19 @@
 }
 
 impl State {
+    /// Records a request that is run before its body was read, and returns its index.
+    fn add_early_request(&self, head: &Head, connection: usize) -> usize {
+        let mut requests = lock(&self.received_requests);
+        requests.push(ReceivedRequest {
+            head: head.clone(),
+            body: ReceivedBody::default(),
+            has_run: true,
+            connection,
+            received_at: Instant::now(),
+        });
+        requests.len() - 1
+    }
+
     /// Closes every connection and refuses new ones.
     fn stop(&self) {
         if let Some(running) = lock(&self.running).take() {
@@ -239,6 +256,7 @@
     ) -> io::Result<Self> {
         let state = State {
             behaviour: Mutex::new(Arc::new(behaviour)),
+            early_behaviour: Mutex::new(Arc::new(|_| None)),
             received_requests: Mutex::default(),
             aborted_requests: Mutex::default(),
             endless_responses: EndlessResponses::default(),
@@ -303,6 +321,14 @@
         *lock(&self.state.behaviour) = Arc::new(behaviour);
     }
 
+    /// Sets which requests are run and answered before their body was read.
+    pub fn set_early_behaviour(
+        &self,
+        behaviour: impl Fn(&Head) -> Option<EarlyAnswer> + Send + Sync + 'static,
+    ) {
+        *lock(&self.state.early_behaviour) = Arc::new(behaviour);
+    }
+
     /// Returns the requests that the replica has received.
     pub fn received_requests(&self) -> Vec<ReceivedRequest> {
         lock(&self.state.received_requests).clone()
@@ -389,6 +415,17 @@
     let (reader, mut writer) = stream.split();
     let mut messages = MessageReader::new(reader);
     while let Ok(Some(head)) = messages.read_head(true).await {
+        let early_behaviour = lock(&state.early_behaviour).clone();
+        if let Some(answer) = early_behaviour(&head) {
+            let index = state.add_early_request(&head, connection);
+            let mut body = Vec::new();
+            let sent = early::send(answer, &head, &mut body, &mut messages, &mut writer).await;
+            lock(&state.received_requests)[index].body.bytes = body;
+            match sent {
+                Ok(true) => continue,
+                Ok(false) | Err(_) => return,
+            }
+        }
         let body = messages.read_body(&head).await;
         let received_at = Instant::now();
         let mut req = ReceivedRequest { head, body, has_run: false, connection, received_at };
