--- a/teaselworks/src/net.rs
+++ b/teaselworks/src/net.rs
@@ -1,5 +1,6 @@
-//! TCP listeners, and TCP connections that detect an unreachable peer.
+//! TCP listeners, TCP connections that detect an unreachable peer, and what a valid response is.
 
+pub mod response_head;
 mod yielding_stream;
 
 use std::io;
--- /dev/null
+++ b/teaselworks/src/net/response_head.rs
@@ -0,0 +1,54 @@
+//! What a valid head of a response is, for everything that reads responses.
+//!
+//! The HTTP library rejects a status that is not three digits from 100 on, a field name that is not a
+//! token, a field value with a control byte, a `Content-Length` that is not one number, and
+//! `Transfer-Encoding` in HTTP/1.0; it skips interim responses other than 101. [`check`] rejects what
+//! the library accepts.
+
+use std::fmt;
+
+use http::{Response, StatusCode};
+
+/// Why the head of a response is invalid.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ResponseHeadError {
+    /// The status is beyond 599, or is 101 although no other protocol was requested.
+    Status(StatusCode),
+}
+
+impl fmt::Display for ResponseHeadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ResponseHeadError::Status(status) => {
+                write!(f, "status {} is not that of a final response", status.as_u16())
+            }
+        }
+    }
+}
+
+impl std::error::Error for ResponseHeadError {}
+
+/// Checks the head of the response to a request that does not ask for another protocol (RFC 9110,
+/// section 15).
+///
+/// # Errors
+///
+/// Fails with the [`ResponseHeadError`] of the first fault. What follows such a head is not known to
+/// be a body, so that the connection can't be used any more.
+///
+/// ```
+/// use http::{Response, StatusCode};
+/// use teaselworks::net::response_head::{ResponseHeadError, check};
+///
+/// let response = |status: u16| Response::builder().status(status).body(()).unwrap();
+/// assert_eq!(check(&response(299)), Ok(()));
+/// let switching = StatusCode::SWITCHING_PROTOCOLS;
+/// assert_eq!(check(&response(101)), Err(ResponseHeadError::Status(switching)));
+/// ```
+pub fn check<B>(response: &Response<B>) -> Result<(), ResponseHeadError> {
+    let status = response.status();
+    if !(200..=599).contains(&status.as_u16()) {
+        return Err(ResponseHeadError::Status(status));
+    }
+    Ok(())
+}
--- a/teaselworks/src/platform/store.rs
+++ b/teaselworks/src/platform/store.rs
@@ -20,7 +20,7 @@
 use super::item::max_value_bytes;
 use super::wire;
 use super::{Item, StoreError, classify_key};
-use crate::net::{self, YieldingStream};
+use crate::net::{self, YieldingStream, response_head};
 
 /// Longest wait for the head of a response, and for each further [`MIN_PART_BYTES`] of its body. A
 /// call that times out is made again from the start, so the timeout leaves time for a slow store, and
@@ -338,6 +338,7 @@
         };
         sender.ready().await.map_err(|_| StoreError::Broken)?;
         let response = sender.send_request(request).await.map_err(|_| StoreError::Broken)?;
+        response_head::check(&response).map_err(|_| StoreError::Broken)?;
         Ok((sender, response))
     }
 
--- a/teaselworks/src/relay/attempt.rs
+++ b/teaselworks/src/relay/attempt.rs
@@ -19,7 +19,7 @@
 use super::upstream_connection::Connection;
 use super::write_gate::SendRecord;
 use crate::event;
-use crate::net::CONNECT_TIMEOUT;
+use crate::net::{CONNECT_TIMEOUT, response_head};
 use crate::platform::headers::{self, AddedHeaders, ResponseMetadata};
 
 /// The answer of an upstream, whose head was checked to belong to the request.
@@ -187,6 +187,14 @@
                 };
             }
         };
+        if let Err(error) = response_head::check(&answer) {
+            event::ANSWER_INVALID.log(&[
+                event::text("request", &self.prepared.metadata.id),
+                event::text("upstream", &self.recipient.incarnation().id),
+                event::text("cause", &error),
+            ]);
+            return Ok(Err(Failure::Foreign));
+        }
         let (head, body) = answer.into_parts();
         let metadata = headers::parse_response_headers(head.status.as_u16(), &head.headers);
         connection.set_keep_alive(metadata.keep_alive);
--- a/teaselworks_standin/src/message.rs
+++ b/teaselworks_standin/src/message.rs
@@ -99,8 +99,8 @@
         }
     }
 
-    /// Reads the body that belongs to a head. A request without framing has no body; the body of a
-    /// response without framing ends with the connection.
+    /// Reads the body that belongs to a head. A request without framing and a response with status 204
+    /// or 304 have no body; the body of any other response without framing ends with the connection.
     pub async fn read_body(&mut self, head: &Head) -> ReceivedBody {
         let mut body = ReceivedBody::default();
         body.is_whole = self.read_body_into(head, &mut body.bytes).await.unwrap_or(false);
@@ -110,6 +110,9 @@
     /// Reads a body into `bytes` and returns whether it is complete. If this is cancelled, `bytes` has
     /// what was read.
     pub async fn read_body_into(&mut self, head: &Head, bytes: &mut Vec<u8>) -> io::Result<bool> {
+        if matches!(head.start_line, StartLine::Response(204 | 304)) {
+            return Ok(true);
+        }
         if head.is_chunked() {
             return self.read_chunked(bytes, |_| false).await;
         }
