--- a/teaselworks/src/net/response_head.rs
+++ b/teaselworks/src/net/response_head.rs
@@ -7,6 +7,7 @@
 
 use std::fmt;
 
+use http::header::{HeaderMap, TRANSFER_ENCODING};
 use http::{Response, StatusCode};
 
 /// Why the head of a response is invalid.
@@ -14,6 +15,8 @@
 pub enum ResponseHeadError {
     /// The status is beyond 599, or is 101 although no other protocol was requested.
     Status(StatusCode),
+    /// The body has a transfer coding other than `chunked`, which alone is always accepted.
+    TransferCoding,
 }
 
 impl fmt::Display for ResponseHeadError {
@@ -22,14 +25,17 @@
             ResponseHeadError::Status(status) => {
                 write!(f, "status {} is not that of a final response", status.as_u16())
             }
+            ResponseHeadError::TransferCoding => {
+                f.write_str("the transfer coding of the body is not \"chunked\"")
+            }
         }
     }
 }
 
 impl std::error::Error for ResponseHeadError {}
 
-/// Checks the head of the response to a request that does not ask for another protocol (RFC 9110,
-/// section 15).
+/// Checks the head of the response to a request that asks for neither another protocol nor a transfer
+/// coding (RFC 9110, section 15; RFC 9112, sections 6.1 and 7).
 ///
 /// # Errors
 ///
@@ -40,15 +46,31 @@
 /// use http::{Response, StatusCode};
 /// use teaselworks::net::response_head::{ResponseHeadError, check};
 ///
-/// let response = |status: u16| Response::builder().status(status).body(()).unwrap();
-/// assert_eq!(check(&response(299)), Ok(()));
+/// let response = |status: u16, coding| {
+///     let builder = Response::builder().status(status).header("transfer-encoding", coding);
+///     builder.body(()).unwrap()
+/// };
+/// assert_eq!(check(&response(299, "Chunked")), Ok(()));
+/// assert_eq!(check(&response(200, "gzip, chunked")), Err(ResponseHeadError::TransferCoding));
 /// let switching = StatusCode::SWITCHING_PROTOCOLS;
-/// assert_eq!(check(&response(101)), Err(ResponseHeadError::Status(switching)));
+/// assert_eq!(check(&response(101, "chunked")), Err(ResponseHeadError::Status(switching)));
 /// ```
 pub fn check<B>(response: &Response<B>) -> Result<(), ResponseHeadError> {
     let status = response.status();
     if !(200..=599).contains(&status.as_u16()) {
         return Err(ResponseHeadError::Status(status));
     }
+    if !has_known_coding(response.headers()) {
+        return Err(ResponseHeadError::TransferCoding);
+    }
     Ok(())
 }
+
+/// Returns whether the body has no transfer coding, or is sent in chunks and nothing else.
+fn has_known_coding(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let coding = codings.next();
+    codings.next().is_none()
+        && coding
+            .is_none_or(|coding| coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
--- a/teaselworks/tests/response_heads.rs
+++ b/teaselworks/tests/response_heads.rs
@@ -9,7 +9,7 @@
 use teaselworks_standin::caller::{Call, Reply, call};
 use teaselworks_standin::fleet::{Fleet, wait_until};
 use teaselworks_standin::links::Partition;
-use teaselworks_standin::upstream::{Script, Step, Upstream};
+use teaselworks_standin::upstream::{Script, Step, Upstream, chunk, event};
 
 /// Statuses that promise that a request was not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -51,6 +51,25 @@
         "x-y: a\x01b\r\ncontent-length: 7\r\n",
     ];
     answers.extend(fields.map(|fields| (status_line(200), fields.to_owned(), "a verse")));
+    let codings = [
+        "gzip",
+        "chunked, gzip",
+        "gzip, chunked",
+        "xchunked",
+        "chunkedx",
+        "chunked, chunked",
+        "chunked;q=1",
+        "identity",
+        "",
+        "chunked\r\ntransfer-encoding: gzip",
+        "gzip\r\ntransfer-encoding: chunked",
+    ];
+    for status in [200, 500] {
+        for coding in codings {
+            let fields = format!("transfer-encoding: {coding}\r\n");
+            answers.push((status_line(status), fields, CHUNKS));
+        }
+    }
     answers.push(("HTTP/1.0 200 Text".to_owned(), "transfer-encoding: chunked\r\n".into(), CHUNKS));
     let chunks =
         ["+7\r\na verse\r\n0\r\n\r\n", "x\r\na verse\r\n0\r\n\r\n", "\r\na verse\r\n0\r\n\r\n"];
@@ -317,3 +336,24 @@
         assert!(written.is_err(), "{status_line} {fields}: {written:?}");
     }
 }
+
+/// Guards against a chunked stream whose framing is taken for its content.
+#[tokio::test]
+async fn a_stream_with_an_unknown_coding_is_no_stream() {
+    let fleet = fleet(1).await;
+    let events: String = (1..4).map(event).collect();
+    let body = format!("{}0\r\n\r\n", String::from_utf8(chunk(&events)).unwrap());
+    for engine in &fleet.engines {
+        let body = body.clone();
+        engine.set_behaviour(move |req| {
+            let fields = "content-type: text/event-stream\r\ntransfer-encoding: xchunked\r\n";
+            let mut script = script(req.id(), &(status_line(200), fields.to_owned(), ""));
+            script.steps.insert(1, Step::Write(body.clone().into_bytes()));
+            script
+        });
+    }
+    for target in ["/chat/a", "/gloss/a"] {
+        let reply = send(&fleet, target, &format!("coded{}", target.len())).await;
+        assert_eq!(reply.status(), 502, "{reply:?}");
+    }
+}
