--- a/teaselworks/src/cli/router.rs
+++ b/teaselworks/src/cli/router.rs
@@ -10,7 +10,7 @@
 use super::failure::CommandError;
 use crate::daemon::{self, ReloadSignal, StartError};
 use crate::event;
-use crate::kernel::Wakeups;
+use crate::kernel::{self, Wakeups};
 use crate::settings::Settings;
 
 /// Runs a router with the settings file given in `matches` until a planned stop has ended.
@@ -21,6 +21,7 @@
     // The VMs provide less than one core, so a second thread would only add context switches.
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
+        .on_thread_start(kernel::block_signals)
         .on_thread_unpark(move || recorded.record())
         .build()
         .map_err(StartError::Runtime)?;
--- a/teaselworks/src/daemon/serve.rs
+++ b/teaselworks/src/daemon/serve.rs
@@ -69,10 +69,10 @@
     let in_progress = start_services(&registry, &settings, ports)?;
     let reload_task = reload::run(path, settings, shared.clone(), reload_signal);
     tokio::select! {
-        signalled = stop::wait_for_signal() => signalled?,
+        signalled = stop::wait_for_signal(wakeups) => signalled?,
         () = reload_task => {}
     }
-    stop::run(&shared, grace, wakeups.max_event_delay(), in_progress).await;
+    stop::run(&shared, grace, wakeups.max_signal_delay(), in_progress).await;
     Ok(())
 }
 
--- a/teaselworks/src/daemon/stop.rs
+++ b/teaselworks/src/daemon/stop.rs
@@ -7,14 +7,18 @@
 
 use super::StartError;
 use crate::event;
-use crate::kernel::ShutdownPhase;
+use crate::kernel::{ShutdownPhase, Wakeups};
 use crate::relay::Shared;
 
 /// Time between checks of the requests that are still in progress.
 const PROGRESS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Waits for SIGTERM or SIGINT; fails if a signal handler cannot be installed.
-pub(super) async fn wait_for_signal() -> Result<(), StartError> {
+/// Waits for SIGTERM or SIGINT, which `wakeups` watch from then on; fails if a signal handler cannot be
+/// installed.
+pub(super) async fn wait_for_signal(wakeups: &Wakeups) -> Result<(), StartError> {
+    let signals =
+        [SignalKind::terminate(), SignalKind::interrupt()].map(|kind| kind.as_raw_value());
+    wakeups.watch(&signals).map_err(StartError::Signal)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signal)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::Signal)?;
     tokio::select! {
--- a/teaselworks/src/event/appender.rs
+++ b/teaselworks/src/event/appender.rs
@@ -8,6 +8,8 @@
 use logforth::record::Record;
 use logforth::{Append, Diagnostic, Error, Layout};
 
+use crate::kernel;
+
 /// Maximum size of the lines waiting to be written; further lines are dropped.
 const MAX_QUEUED_BYTES: usize = 1 << 20;
 /// Time between writes, in which lines are collected into one batch: a busy router then writes tens
@@ -31,7 +33,10 @@
     pub(super) fn start(layout: impl Into<Box<dyn Layout>>, dropped: Arc<AtomicU64>) -> Self {
         let queue = Arc::new(Queue::default());
         let writer_queue = queue.clone();
-        std::thread::spawn(move || writer_queue.run_writer());
+        std::thread::spawn(move || {
+            kernel::block_signals();
+            writer_queue.run_writer();
+        });
         Self { layout: layout.into(), queue, dropped }
     }
 }
--- a/teaselworks/src/kernel/mod.rs
+++ b/teaselworks/src/kernel/mod.rs
@@ -7,4 +7,4 @@
 
 pub use registry::{ServiceError, ServiceName, ServiceRegistry};
 pub use shutdown::{Shutdown, ShutdownPhase};
-pub use wakeups::Wakeups;
+pub use wakeups::{Wakeups, block_signals};
--- a/teaselworks/tests/stop_late.rs
+++ b/teaselworks/tests/stop_late.rs
@@ -135,6 +135,9 @@
     fleet.routers[0].signal(Signal::SIGTERM).unwrap();
     tokio::time::sleep(SIGNAL_DELAY).await;
     fleet.routers[0].signal(Signal::SIGCONT).unwrap();
+    let stops = fleet.routers[0].wait_for_events("stop_requested", 1).await.unwrap();
+    let counted_ms = stops[0]["max_signal_delay_ms"].as_u64().unwrap();
+    assert!(u128::from(counted_ms) >= SIGNAL_DELAY.as_millis(), "{counted_ms} ms");
     tokio::time::sleep_until(signalled_at + LATE).await;
     let streams = ["/chat/a", "/gloss/a"].map(|target| {
         let id = format!("long{}", target.len());
