--- a/teaselworks/src/relay/caller_connection.rs
+++ b/teaselworks/src/relay/caller_connection.rs
@@ -158,7 +158,18 @@
             });
             tokio::select! {
                 state = state => {
-                    if state.map_err(io::Error::other)? == ConnectionState::Closed {
+                    let state = match state {
+                        Ok(state) => state,
+                        Err(error) => {
+                            if activity.is_end_framing() {
+                                // Closing it would look like the end of the answer.
+                                let io = connection.into_parts().io.into_inner();
+                                let _ = io.stream.into_inner().set_zero_linger();
+                            }
+                            return Err(io::Error::other(error));
+                        }
+                    };
+                    if state == ConnectionState::Closed {
                         return Ok(None);
                     }
                     let parts = connection.into_parts();
@@ -204,6 +215,7 @@
     let is_last_request =
         request.version() != Version::HTTP_11 || requests_close(request.headers());
     activity.start_request(has_no_body);
+    activity.set_end_framing(request.version() == Version::HTTP_10);
     let guard = RequestGuard { shared: shared.clone(), activity: activity.clone() };
     let mut response = serve(shared.clone(), request, &activity, Origin::Caller).await;
     // A stopping router closes the connection after each answer, so that callers send their next
--- a/teaselworks/src/relay/io.rs
+++ b/teaselworks/src/relay/io.rs
@@ -30,6 +30,9 @@
     is_reusable: AtomicBool,
     /// Everything that was written has been flushed to the socket.
     is_flushed: AtomicBool,
+    /// The caller of the last request knows no chunks, so that an answer without a length ends with the
+    /// connection.
+    is_end_framing: AtomicBool,
 }
 
 impl Activity {
@@ -41,6 +44,7 @@
             active_requests: AtomicU64::new(0),
             is_reusable: AtomicBool::new(false),
             is_flushed: AtomicBool::new(true),
+            is_end_framing: AtomicBool::new(false),
         }
     }
 
@@ -52,6 +56,16 @@
         self.is_reusable.store(is_reusable, Ordering::Relaxed);
     }
 
+    /// Sets whether an answer without a length ends with the connection.
+    pub(super) fn set_end_framing(&self, is_end_framing: bool) {
+        self.is_end_framing.store(is_end_framing, Ordering::Relaxed);
+    }
+
+    /// Returns whether an answer without a length ends with the connection.
+    pub(super) fn is_end_framing(&self) -> bool {
+        self.is_end_framing.load(Ordering::Relaxed)
+    }
+
     /// Sets whether the connection can be used for another request after the one in progress.
     pub(super) fn set_reusable(&self, is_reusable: bool) {
         self.is_reusable.store(is_reusable, Ordering::Relaxed);
--- a/teaselworks/tests/unframed.rs
+++ b/teaselworks/tests/unframed.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use common::{chat, fleet, request};
-use teaselworks_standin::caller::{Connection, Reply, call};
+use teaselworks_standin::caller::{Call, Connection, Reply, call};
 use teaselworks_standin::fleet::Fleet;
 use teaselworks_standin::upstream::{ReceivedRequest, Script, Step, event};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const PAUSE: Duration = Duration::from_millis(1);
 
@@ -91,6 +93,33 @@
     }
 }
 
+/// Sends a request of HTTP/1.0 and returns what comes until the connection ends, and whether that was
+/// not a reset.
+async fn call_without_chunks(fleet: &Fleet, call: &Call) -> (String, bool) {
+    let mut stream = TcpStream::connect(fleet.routers[0].callers_address()).await.unwrap();
+    let text = String::from_utf8(call.bytes()).unwrap().replace("HTTP/1.1", "HTTP/1.0");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    let is_whole = stream.read_to_end(&mut received).await.is_ok();
+    (String::from_utf8(received).unwrap(), is_whole)
+}
+
+/// Guards against an answer that breaks off and looks whole to a caller that knows no chunks, since its
+/// connection is closed and not reset.
+#[tokio::test]
+async fn an_answer_that_breaks_off_is_reset_for_a_caller_without_chunks() {
+    let fleet = fleet(1).await;
+    let ends = [("", Step::Reset), ("id: 3\nda", Step::Close), ("", Step::Close)];
+    for (number, (rest, end)) in ends.into_iter().enumerate() {
+        set_engines(&fleet, move |req| stream(req, 1..3, rest, end.clone()));
+        let call = chat("/chat/a", &format!("old{number}"), 1);
+        let (text, is_whole) = call_without_chunks(&fleet, &call).await;
+        assert!(text.is_empty() || text.starts_with("HTTP/1.0 200"), "{number}: {text}");
+        assert_eq!(is_whole, number == 2, "{number}: {text}");
+        assert!(!is_whole || text.contains("id: 2\n"), "{number}: {text}");
+    }
+}
+
 /// Guards against an answer whose end the caller cannot tell, or a connection to the caller that is lost
 /// with each answer of this kind.
 #[tokio::test]
