--- a/teaselworks/tests/early_answers.rs
+++ b/teaselworks/tests/early_answers.rs
@@ -3,22 +3,18 @@
 mod common;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use common::{chat, program, request};
 use futures_util::{StreamExt, stream};
 use serde_json::json;
-use teaselworks_standin::caller::{Call, Reply, call};
+use teaselworks_standin::caller::{Call, call};
 use teaselworks_standin::configuration::TestConfiguration;
 use teaselworks_standin::early::{EarlyAnswer, EarlyEnding};
 use teaselworks_standin::fleet::{Fleet, wait_until};
 use teaselworks_standin::links::Partition;
-use teaselworks_standin::message::MessageReader;
 use teaselworks_standin::upstream::{chunk, event};
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 
 /// Number of requests at a time.
 const CONCURRENT_REQUESTS: usize = 5;
@@ -160,22 +156,6 @@
     (fleet, answers)
 }
 
-/// Sends a request and reads the answer meanwhile; `None` if the connection ends before its head does.
-async fn call_while_uploading(address: SocketAddr, call: &Call) -> Option<Reply> {
-    let (reader, mut writer) = TcpStream::connect(address).await.unwrap().into_split();
-    let bytes = call.bytes();
-    let uploading = tokio::spawn(async move {
-        // The router may close the connection before it has read the whole upload.
-        let _ = writer.write_all(&bytes).await;
-        writer
-    });
-    let mut messages = MessageReader::new(reader);
-    let head = messages.read_head(false).await.ok().flatten()?;
-    let body = messages.read_body(&head).await;
-    drop(uploading);
-    Some(Reply { head, body })
-}
-
 fn count_runs(fleet: &Fleet, id: &str) -> usize {
     fleet.archives.iter().chain(&fleet.engines).map(|upstream| upstream.run_count(id)).sum()
 }
@@ -193,19 +173,17 @@
         if !row.is_sound {
             let _ = call(address, &request("GET", "/read/a", &format!("before-{id}"))).await;
         }
-        (call_while_uploading(address, &row.call).await, row)
+        (call(address, &row.call).await.unwrap_or_default(), row)
     });
     let played: Vec<_> = stream::iter(played).buffered(CONCURRENT_REQUESTS).collect().await;
     let mut ran = 0;
     for (reply, row) in played {
         let id = &row.call.headers[1].1;
-        let (status, is_whole) =
-            reply.as_ref().map_or((0, false), |reply| (reply.status(), reply.body.is_whole));
+        let (status, is_whole) = (reply.status(), reply.body.is_whole);
         let runs = count_runs(fleet, id);
         ran += usize::from(runs > 0);
         let is_right = if row.is_sound {
-            let has_body = reply.is_some_and(|reply| reply.text() == body());
-            status == 200 && is_whole && has_body && runs == 1
+            status == 200 && is_whole && reply.text() == body() && runs == 1
         } else {
             let is_passed_on =
                 row.call.target == "/chat/a" || row.answer.bytes.len() > LONG_PART_BYTES;
--- a/teaselworks_standin/src/caller.rs
+++ b/teaselworks_standin/src/caller.rs
@@ -127,10 +127,7 @@
     /// Reads the head of a response; `None` if the connection is closed first. Fails with
     /// [`io::ErrorKind::TimedOut`] after [`REPLY_TIMEOUT`].
     pub async fn read_head(&mut self) -> io::Result<Option<Head>> {
-        // `false`: the head is that of a response, not of a request.
-        tokio::time::timeout(REPLY_TIMEOUT, self.messages.read_head(false))
-            .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+        read_head(&mut self.messages).await
     }
 
     /// Reads the body of a response into `bytes` and returns whether it is complete. If this is
@@ -142,10 +139,7 @@
     /// Reads a response; `None` if the connection is closed before its head ends. Fails with
     /// [`io::ErrorKind::TimedOut`] if its head or its body takes longer than [`REPLY_TIMEOUT`].
     pub async fn read_reply(&mut self) -> io::Result<Option<Reply>> {
-        let Some(head) = self.read_head().await? else { return Ok(None) };
-        let body = tokio::time::timeout(REPLY_TIMEOUT, self.messages.read_body(&head)).await;
-        let body = body.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
-        Ok(Some(Reply { head, body }))
+        read_reply(&mut self.messages).await
     }
 
     /// Sends a request for a stream and reads it until it has `events` events; `None` if the
@@ -168,13 +162,34 @@
         Ok(Some(Reply { head, body }))
     }
 
-    /// Sends a request and reads the response; `None` if the connection is closed first.
+    /// Sends a request and reads the response, also if that comes before the request was sent; `None` if
+    /// the connection is closed first.
     pub async fn call(&mut self, call: &Call) -> io::Result<Option<Reply>> {
-        self.send(call).await?;
-        self.read_reply().await
+        let bytes = call.bytes();
+        let Self { messages, writer } = self;
+        let (written, reply) = tokio::join!(writer.write_all(&bytes), read_reply(messages));
+        match reply {
+            Ok(None) => written.map(|()| None),
+            // Writing fails where the server closes the connection without reading on.
+            reply => reply,
+        }
     }
 }
 
+async fn read_head(messages: &mut MessageReader<OwnedReadHalf>) -> io::Result<Option<Head>> {
+    // `false`: the head is that of a response, not of a request.
+    tokio::time::timeout(REPLY_TIMEOUT, messages.read_head(false))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
+async fn read_reply(messages: &mut MessageReader<OwnedReadHalf>) -> io::Result<Option<Reply>> {
+    let Some(head) = read_head(messages).await? else { return Ok(None) };
+    let body = tokio::time::timeout(REPLY_TIMEOUT, messages.read_body(&head)).await;
+    let body = body.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
+    Ok(Some(Reply { head, body }))
+}
+
 /// Sends one request on a new connection and reads the response. Its status is 0 if the connection
 /// is closed without a response.
 pub async fn call(address: SocketAddr, call: &Call) -> io::Result<Reply> {
--- a/teaselworks_standin/src/soak/bug.rs
+++ b/teaselworks_standin/src/soak/bug.rs
@@ -90,6 +90,10 @@
     UnframedStreamTruncated => "streams end as complete after their last event",
     /// A stream with framing that lacks its last event looks complete.
     FramedStreamTruncated => "streams end as complete after their last event",
+    /// A part of an answer that was reset beside the upload of its request looks complete.
+    UploadPartLooksWhole => "complete and matching responses",
+    /// An answer with an invalid head is passed on.
+    InvalidHeadPassedOn => "complete and matching responses",
     /// A router that most callers reach refuses most of them.
     RefusalsInFunnel => "a router that most callers reach serves them",
 }
--- a/teaselworks_standin/src/soak/callers.rs
+++ b/teaselworks_standin/src/soak/callers.rs
@@ -12,8 +12,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::bounds::{CRASHING_PREFIX, LONG_STREAM_TOKENS, REPEATED_PREFIX};
+use super::broken_answers::{falsify_outcome, upload};
 use super::bug::Bug;
-use super::content::{content_key, event_count, falsify_events, parse_events};
+use super::content::{call_content, event_count, falsify_events, parse_events};
 use super::fleet::{SoakFleet, version_route_prefix};
 use super::record::{
     Outcome, Recorder, RequestKind, RequestRecord, Resumption, Traffic, VersionProbe,
@@ -216,6 +217,7 @@
             Ok(Ok(None) | Err(_)) => Outcome::NoResponse,
             Ok(Ok(Some(reply))) => self.evaluate(&reply, kind, &id, resumes.as_ref()),
         };
+        let outcome = falsify_outcome(self.recorder.simulated_bug, kind, &id, &call, outcome);
         RequestRecord {
             id,
             kind,
@@ -415,10 +417,10 @@
     let call = Call::new(method, HOST, &format!("{}a", kind.prefix()), id)
         .with_api_key(API_KEY)
         .with_header("X-Deadline-Ms", &REQUEST_DEADLINE.as_millis().to_string());
+    let Content { chat, own } = content;
     if !kind.is_stream() {
-        return call;
+        return call.with_body(&upload(kind, own));
     }
-    let Content { chat, own } = content;
     let (verse, part) = match own % 3 {
         0 => (own, chat),
         1 => (chat, own),
@@ -440,12 +442,6 @@
     request.ended_at.saturating_sub(request.sent_at) + DEADLINE_MARGIN >= deadline
 }
 
-/// Returns the key of what a request asks for.
-fn call_content(call: &Call) -> u64 {
-    let prompt = call.headers.iter().find(|(name, _)| name == "X-Prompt-Prefix");
-    content_key(&call.target, call.body.as_bytes(), prompt.map_or("", |(_, value)| value))
-}
-
 /// Returns the request with another prompt.
 fn replace_prompt(mut call: Call, prompt: &str) -> Call {
     call.headers.retain(|(name, _)| name != "X-Prompt-Prefix");
--- a/teaselworks_standin/src/soak/content.rs
+++ b/teaselworks_standin/src/soak/content.rs
@@ -6,6 +6,7 @@
 
 use super::bug::Bug;
 use super::record::RequestKind;
+use crate::caller::Call;
 
 /// Time between two events of a stream, and of a slow stream.
 pub(super) const EVENT_INTERVAL: Duration = Duration::from_millis(15);
@@ -22,6 +23,12 @@
     hasher.finish()
 }
 
+/// Returns the key of what a caller's request asks for.
+pub(super) fn call_content(call: &Call) -> u64 {
+    let prompt = call.headers.iter().find(|(name, _)| name == "X-Prompt-Prefix");
+    content_key(&call.target, call.body.as_bytes(), prompt.map_or("", |(_, value)| value))
+}
+
 /// Returns the number of events in the stream that answers a request: from 3 to 14.
 pub(super) fn event_count(content: u64) -> u32 {
     3 + (content % 12) as u32
--- a/teaselworks_standin/src/soak/fleet.rs
+++ b/teaselworks_standin/src/soak/fleet.rs
@@ -13,6 +13,7 @@
     COLD_REQUESTS_PER_S, COLD_TIME, DRAINING_BOUND, EVACUATION_BOUND, RETRY_RATIO, RETRY_SLACK,
     RETRY_WINDOW, STOP_GRACE,
 };
+use super::broken_answers::MAX_UPLOAD_BYTES;
 use super::bug::Bug;
 use super::record::{ColdSpan, EvacuationSpan, Recorder, RequestKind, ServingSpan};
 use super::replica::{Listing, Replica, ReplicaMode};
@@ -90,6 +91,7 @@
         for service in fleet.configuration.value["services"].as_array_mut().into_iter().flatten() {
             service["cold_per_s"] = json!(COLD_REQUESTS_PER_S);
         }
+        fleet.configuration.value["limits"]["max_body_bytes"] = json!(MAX_UPLOAD_BYTES);
         fleet.split_route(0);
         for service in SERVICES {
             for version in VERSIONS {
--- a/teaselworks_standin/src/soak/mod.rs
+++ b/teaselworks_standin/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! the guarantees to callers against what callers and replicas observed.
 
 mod bounds;
+mod broken_answers;
 mod bug;
 mod callers;
 mod checks;
--- a/teaselworks_standin/src/soak/replica.rs
+++ b/teaselworks_standin/src/soak/replica.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::bounds::{LONG_STREAM_TIME, LONG_STREAM_TOKENS, PAUSE, REST};
+use super::broken_answers::{early_answer, invalid_answer};
 use super::bug::Bug;
 use super::content::{
     EVENT_INTERVAL, StreamEvent, content_key, event_count, event_interval, is_unframed,
@@ -104,6 +105,7 @@
     ) -> std::io::Result<Self> {
         let mode = Arc::new(Mutex::new(ReplicaMode::default()));
         let (current, recorder, name) = (mode.clone(), recorder.clone(), id.to_owned());
+        let (early_recorder, early_name) = (recorder.clone(), id.to_owned());
         let (run_count, run_version) = (AtomicUsize::new(0), version.to_owned());
         let upstream = Upstream::start(id, move |req| {
             let mode = *current.lock().expect("the lock of the mode is never poisoned");
@@ -122,6 +124,11 @@
             recorder.record_arrival(req.id(), &name, script.is_run, asks_for_rest);
             script
         })?;
+        upstream.set_early_behaviour(move |head| {
+            let answer = early_answer(head)?;
+            early_recorder.record_arrival(head.header("x-request-id")?, &early_name, true, false);
+            Some(answer)
+        });
         upstream.set_version(version);
         let proxy = Proxy::start(upstream.address())?;
         Ok(Self {
@@ -222,8 +229,12 @@
             Step::Crash,
         ]);
     }
+    let is_plain = event.service == ARCHIVE_SERVICE;
+    if let Some(script) = invalid_answer(req).filter(|_| is_plain) {
+        return script;
+    }
     let mut steps = Vec::new();
-    if event.service == ARCHIVE_SERVICE {
+    if is_plain {
         let is_paused = mode == ReplicaMode::Pauses;
         steps.push(Step::Pause(if is_paused { PAUSE } else { EVENT_INTERVAL }));
         steps.push(Step::Write(raw_response(id, 200, &body_for(id))));
@@ -268,8 +279,7 @@
                 bytes.truncate(bytes.len() / 2);
             }
             // A stream that ends inside an event has been broken off, however its connection ends.
-            let is_stream = event.service != ARCHIVE_SERVICE;
-            let is_closed = is_unframed(content) && steps.len() == 3 && is_stream;
+            let is_closed = is_unframed(content) && steps.len() == 3 && !is_plain;
             steps.push(if is_closed { Step::Close } else { Step::Reset });
         }
     }
