--- a/teaselworks/src/relay/caller_connection.rs
+++ b/teaselworks/src/relay/caller_connection.rs
@@ -161,7 +161,7 @@
                     let state = match state {
                         Ok(state) => state,
                         Err(error) => {
-                            if activity.is_end_framing() {
+                            if activity.is_close_delimited() {
                                 // Closing it would look like the end of the answer.
                                 let io = connection.into_parts().io.into_inner();
                                 let _ = io.stream.into_inner().set_zero_linger();
@@ -215,7 +215,7 @@
     let is_last_request =
         request.version() != Version::HTTP_11 || requests_close(request.headers());
     activity.start_request(has_no_body);
-    activity.set_end_framing(request.version() == Version::HTTP_10);
+    activity.set_close_delimited(request.version() == Version::HTTP_10);
     let guard = RequestGuard { shared: shared.clone(), activity: activity.clone() };
     let mut response = serve(shared.clone(), request, &activity, Origin::Caller).await;
     // A stopping router closes the connection after each answer, so that callers send their next
--- a/teaselworks/src/relay/io.rs
+++ b/teaselworks/src/relay/io.rs
@@ -30,9 +30,9 @@
     is_reusable: AtomicBool,
     /// Everything that was written has been flushed to the socket.
     is_flushed: AtomicBool,
-    /// The caller of the last request knows no chunks, so that an answer without a length ends with the
-    /// connection.
-    is_end_framing: AtomicBool,
+    /// The last request was sent with HTTP/1.0, which has no chunks: an answer without a length ends with
+    /// the connection.
+    is_close_delimited: AtomicBool,
 }
 
 impl Activity {
@@ -44,7 +44,7 @@
             active_requests: AtomicU64::new(0),
             is_reusable: AtomicBool::new(false),
             is_flushed: AtomicBool::new(true),
-            is_end_framing: AtomicBool::new(false),
+            is_close_delimited: AtomicBool::new(false),
         }
     }
 
@@ -56,14 +56,14 @@
         self.is_reusable.store(is_reusable, Ordering::Relaxed);
     }
 
-    /// Sets whether an answer without a length ends with the connection.
-    pub(super) fn set_end_framing(&self, is_end_framing: bool) {
-        self.is_end_framing.store(is_end_framing, Ordering::Relaxed);
+    /// Sets whether an answer without a length is close-delimited.
+    pub(super) fn set_close_delimited(&self, is_close_delimited: bool) {
+        self.is_close_delimited.store(is_close_delimited, Ordering::Relaxed);
     }
 
-    /// Returns whether an answer without a length ends with the connection.
-    pub(super) fn is_end_framing(&self) -> bool {
-        self.is_end_framing.load(Ordering::Relaxed)
+    /// Returns whether an answer without a length is close-delimited.
+    pub(super) fn is_close_delimited(&self) -> bool {
+        self.is_close_delimited.load(Ordering::Relaxed)
     }
 
     /// Sets whether the connection can be used for another request after the one in progress.
